all: add the whole path, thin

A program's calls go from a caller through any daemon to the program's owner, a replica's owner and a target, and its history and budget are kept in the platform's table service.

--- /dev/null
+++ b/internal/conductor/gone.go
@@ -0,0 +1,32 @@
+package conductor
+
+import (
+	"context"
+
+	"pimentorail.example/pimentorail/internal/sequencer"
+)
+
+// Gone asks the program owners which of the programs need no engine memory any more.
+func (c *Conductor) Gone(ctx context.Context, programs []string) []string {
+	byPartition := map[int][]string{}
+	var gone []string
+	for _, s := range programs {
+		n, ok := sequencer.ParseName(s)
+		if !ok {
+			gone = append(gone, s)
+			continue
+		}
+		p := n.Partition(c.o.Map.Partitions())
+		byPartition[p] = append(byPartition[p], s)
+	}
+	for p, names := range byPartition {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		r, f := ask(ctx, c.owners, p, sequencer.ServiceName+".Gone", &sequencer.GoneRequest{Names: names},
+			func(*sequencer.GoneReply) bool { return false })
+		cancel()
+		if f == nil {
+			gone = append(gone, r.Gone...)
+		}
+	}
+	return gone
+}
--- /dev/null
+++ b/internal/emulator/cache.go
@@ -0,0 +1,93 @@
+package emulator
+
+import (
+	"container/list"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const bytesPerToken = 4
+
+// prefixCache is an LRU over message prefixes with a capacity in tokens.
+type prefixCache struct {
+	capacity int
+	used     int
+	nodes    map[uint64]*list.Element
+	order    *list.List
+	events   []CacheEvent
+}
+
+type prefixNode struct {
+	hash   uint64
+	tokens int
+}
+
+// CacheEvent says that a prefix was stored in or evicted from an engine's cache.
+type CacheEvent struct {
+	Number int    `json:"number"`
+	Hash   string `json:"hash"`
+	Stored bool   `json:"stored"`
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, nodes: map[uint64]*list.Element{}, order: list.New()}
+}
+
+// prefixes returns the chain hash and the own tokens of each message prefix.
+func prefixes(messages []Message) []prefixNode {
+	nodes := make([]prefixNode, 0, len(messages))
+	chain := uint64(0)
+	for _, m := range messages {
+		chain = xxhash.Sum64String(strconv.FormatUint(chain, 16) + "\x00" + m.Role + "\x00" + m.Content)
+		nodes = append(nodes, prefixNode{hash: chain, tokens: CountTokens(m.Content)})
+	}
+	return nodes
+}
+
+// CountTokens returns the tokens that an engine counts for a text.
+func CountTokens(text string) int { return (len(text) + bytesPerToken - 1) / bytesPerToken }
+
+// lookup returns the total and the cached tokens of a prompt, and refreshes what it hits.
+func (c *prefixCache) lookup(nodes []prefixNode) (total, cached int) {
+	hit := true
+	for _, n := range nodes {
+		total += n.tokens
+		e, ok := c.nodes[n.hash]
+		hit = hit && ok
+		if hit {
+			cached += n.tokens
+			c.order.MoveToFront(e)
+		}
+	}
+	return total, cached
+}
+
+func (c *prefixCache) insert(nodes []prefixNode) {
+	for _, n := range nodes {
+		if e, ok := c.nodes[n.hash]; ok {
+			c.order.MoveToFront(e)
+			continue
+		}
+		c.nodes[n.hash] = c.order.PushFront(n)
+		c.used += n.tokens
+		c.event(n.hash, true)
+	}
+	for c.used > c.capacity {
+		c.evict()
+	}
+}
+
+func (c *prefixCache) evict() {
+	e := c.order.Back()
+	n := e.Value.(prefixNode)
+	c.order.Remove(e)
+	delete(c.nodes, n.hash)
+	c.used -= n.tokens
+	c.event(n.hash, false)
+}
+
+func (c *prefixCache) event(hash uint64, stored bool) {
+	ev := CacheEvent{Number: len(c.events) + 1, Hash: strconv.FormatUint(hash, 16), Stored: stored}
+	c.events = append(c.events, ev)
+}
--- /dev/null
+++ b/internal/emulator/store.go
@@ -0,0 +1,199 @@
+package emulator
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/btree"
+	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/storer"
+)
+
+// StoreFaults says how a Store misbehaves.
+type StoreFaults struct {
+	// Down makes every request fail without effect.
+	Down bool `json:"down"`
+	// LoseEvery drops the answer of every nth commit after it took effect; zero drops none.
+	LoseEvery int `json:"lose-every"`
+	// DelayMS delays every request, in milliseconds.
+	DelayMS int `json:"delay-ms"`
+}
+
+// Store is an in-memory table service and object store.
+type Store struct {
+	mu       sync.Mutex
+	rows     *btree.BTreeG[storer.Row]
+	objects  map[string][]byte
+	version  uint64
+	commits  int
+	reads    int
+	written  int
+	faults   StoreFaults
+	machines []storer.Machine
+}
+
+// NewStore returns an empty store without faults.
+func NewStore() *Store {
+	less := func(a, b storer.Row) bool { return a.Key < b.Key }
+	return &Store{rows: btree.NewG(16, less), objects: map[string][]byte{}}
+}
+
+// SetFaults switches the faults.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetMachines replaces the list of VMs.
+func (s *Store) SetMachines(vms []storer.Machine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.machines = slices.Clone(vms)
+}
+
+// Machines returns the list of VMs.
+func (s *Store) Machines(context.Context) ([]storer.Machine, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.machines), nil
+}
+
+// StoreCounts counts the requests that a Store has served.
+type StoreCounts struct {
+	Commits int `json:"commits"`
+	Reads   int `json:"reads"`
+	Bytes   int `json:"bytes-written"`
+	Rows    int `json:"rows"`
+}
+
+// Counts returns the requests served so far.
+func (s *Store) Counts() StoreCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCounts{Commits: s.commits, Reads: s.reads, Bytes: s.written, Rows: s.rows.Len()}
+}
+
+func (s *Store) enter(ctx context.Context) error {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.DelayMS > 0 {
+		select {
+		case <-time.After(time.Duration(f.DelayMS) * time.Millisecond):
+		case <-ctx.Done():
+			return errors.Wrap(storer.ErrUnavailable, "slow")
+		}
+	}
+	if f.Down {
+		return errors.Wrap(storer.ErrUnavailable, "down")
+	}
+	return ctx.Err()
+}
+
+// Get implements storer.Table.
+func (s *Store) Get(ctx context.Context, key string) (storer.Row, error) {
+	if err := s.enter(ctx); err != nil {
+		return storer.Row{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	row, ok := s.rows.Get(storer.Row{Key: key})
+	if !ok {
+		return storer.Row{Key: key}, nil
+	}
+	return row, nil
+}
+
+// Scan implements storer.Table.
+func (s *Store) Scan(ctx context.Context, prefix, after string, limit int) ([]storer.Row, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	var rows []storer.Row
+	s.rows.AscendGreaterOrEqual(storer.Row{Key: max(prefix, after)}, func(r storer.Row) bool {
+		if !strings.HasPrefix(r.Key, prefix) || len(rows) >= limit {
+			return false
+		}
+		if r.Key > after {
+			rows = append(rows, r)
+		}
+		return true
+	})
+	return rows, nil
+}
+
+// Commit implements storer.Table.
+func (s *Store) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
+	if err := s.enter(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.commits++
+	for _, c := range tx.Conditions {
+		row, _ := s.rows.Get(storer.Row{Key: c.Key})
+		if row.Version != c.Version {
+			return 0, errors.Wrap(storer.ErrConflict, c.Key)
+		}
+	}
+	s.version++
+	for _, w := range tx.Writes {
+		s.apply(w)
+	}
+	if s.faults.LoseEvery > 0 && s.commits%s.faults.LoseEvery == 0 {
+		return 0, errors.Wrap(storer.ErrUnavailable, "answer lost")
+	}
+	return s.version, nil
+}
+
+func (s *Store) apply(w storer.Write) {
+	if w.Delete {
+		s.rows.Delete(storer.Row{Key: w.Key})
+		return
+	}
+	s.written += len(w.Key) + len(w.Value)
+	s.rows.ReplaceOrInsert(storer.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.version})
+}
+
+// Put implements storer.Objects.
+func (s *Store) Put(ctx context.Context, key string, data []byte) error {
+	if err := s.enter(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[key] = slices.Clone(data)
+	return nil
+}
+
+// Fetch implements storer.Objects.
+func (s *Store) Fetch(ctx context.Context, key string) ([]byte, error) {
+	if err := s.enter(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	data, ok := s.objects[key]
+	if !ok {
+		return nil, storer.ErrAbsent
+	}
+	return data, nil
+}
+
+// ObjectKeys returns the keys of all objects in order.
+func (s *Store) ObjectKeys() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects))
+}
--- /dev/null
+++ b/internal/limiter/grants.go
@@ -0,0 +1,65 @@
+package limiter
+
+import "time"
+
+// Lifetime is how long a slice holds without renewal.
+const Lifetime = 3 * time.Second
+
+// grant is a holder's slice.
+type grant struct {
+	amount  int
+	expires time.Duration
+}
+
+// Grants is the owner's state of one account.
+type Grants struct {
+	holders map[string]grant
+	settled time.Duration
+}
+
+// NewGrants returns the state of an account taken over at a time: nothing new
+// is granted until earlier slices have expired.
+func NewGrants(now time.Duration, takenOver bool) *Grants {
+	g := &Grants{holders: map[string]grant{}}
+	if takenOver {
+		g.settled = now + Lifetime
+	}
+	return g
+}
+
+// Ask sets a holder's slice to want if the limit allows it, and returns the slice.
+// A holder of an earlier owner's slice keeps at most held until the account is settled.
+func (g *Grants) Ask(holder string, want, held, limit int, now time.Duration) int {
+	for h, s := range g.holders {
+		if s.expires <= now {
+			delete(g.holders, h)
+		}
+	}
+	others := 0
+	for h, s := range g.holders {
+		if h != holder {
+			others += s.amount
+		}
+	}
+	amount := max(0, min(want, limit-others))
+	if now < g.settled {
+		amount = min(max(0, want), max(held, g.holders[holder].amount))
+	}
+	if amount == 0 {
+		delete(g.holders, holder)
+		return 0
+	}
+	g.holders[holder] = grant{amount: amount, expires: now + Lifetime}
+	return amount
+}
+
+// Granted returns the sum of the slices that have not expired.
+func (g *Grants) Granted(now time.Duration) int {
+	sum := 0
+	for _, s := range g.holders {
+		if s.expires > now {
+			sum += s.amount
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/linker/caller.go
@@ -0,0 +1,21 @@
+package linker
+
+import (
+	"context"
+	"net"
+)
+
+// Caller makes remote procedure calls to daemons by address.
+type Caller interface {
+	// Call invokes a method ("Service.Method") and fills reply, or fails with ErrUnreached or ErrLost.
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Dialer opens a connection to a daemon.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the Dialer over TCP.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/internal/linker/server.go
@@ -0,0 +1,92 @@
+package linker
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"gopkg.in/tomb.v2"
+	"k8s.io/klog/v2"
+)
+
+// Server serves registered services to daemons that know the secret.
+type Server struct {
+	mu     sync.Mutex
+	rpc    *rpc.Server
+	secret string
+	conns  map[net.Conn]bool
+	ln     net.Listener
+	tomb   *tomb.Tomb
+}
+
+// NewServer returns a server without services.
+func NewServer(secret string) *Server {
+	return &Server{rpc: rpc.NewServer(), secret: secret, conns: map[net.Conn]bool{}}
+}
+
+// Register adds a service under a name.
+func (s *Server) Register(name string, service any) error {
+	return s.rpc.RegisterName(name, service)
+}
+
+// Start accepts connections on a listener until the context ends.
+func (s *Server) Start(ctx context.Context, l net.Listener) {
+	s.ln = l
+	s.tomb, _ = tomb.WithContext(ctx)
+	s.tomb.Go(s.run)
+	s.tomb.Go(s.loop)
+}
+
+// Wait returns when the server has stopped.
+func (s *Server) Wait() error { return s.tomb.Wait() }
+
+func (s *Server) run() error {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return nil
+		}
+		peer := &session{server: s, conn: c}
+		s.tomb.Go(peer.run)
+	}
+}
+
+// loop closes the listener and the connections when the server stops.
+func (s *Server) loop() error {
+	<-s.tomb.Dying()
+	_ = s.ln.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	return nil
+}
+
+// ServeConn serves one connection until it closes.
+func (s *Server) ServeConn(c net.Conn) {
+	defer c.Close()
+	if err := admit(c, s.secret); err != nil {
+		klog.Warningf("linker: refused %v: %v", c.RemoteAddr(), err)
+		return
+	}
+	s.rpc.ServeConn(c)
+}
+
+// session is one accepted connection.
+type session struct {
+	server *Server
+	conn   net.Conn
+}
+
+func (s *session) run() error {
+	s.server.mu.Lock()
+	s.server.conns[s.conn] = true
+	s.server.mu.Unlock()
+	s.server.ServeConn(s.conn)
+	s.server.mu.Lock()
+	delete(s.server.conns, s.conn)
+	s.server.mu.Unlock()
+	return nil
+}
--- /dev/null
+++ b/internal/listener/listener.go
@@ -0,0 +1,145 @@
+package listener
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"goji.io"
+	"goji.io/pat"
+	"k8s.io/klog/v2"
+
+	"pimentorail.example/pimentorail/internal/conductor"
+	"pimentorail.example/pimentorail/internal/configurer"
+	"pimentorail.example/pimentorail/internal/declarer"
+	"pimentorail.example/pimentorail/pkg/classifier"
+)
+
+// Config is the declarations in force; a configurer.Watcher is one.
+type Config interface {
+	Snapshot() *configurer.Snapshot
+	Sure() bool
+}
+
+// Options configures a Listener.
+type Options struct {
+	Conductor *conductor.Conductor
+	Config    Config
+	Scope     tally.Scope
+	// Ready returns why the daemon should get no new connections, nil if it should.
+	Ready func() error
+	// Metrics serves the metrics page.
+	Metrics http.Handler
+}
+
+// Listener serves callers over HTTP.
+type Listener struct {
+	o        Options
+	stopping atomic.Bool
+}
+
+// New returns a listener.
+func New(o Options) *Listener { return &Listener{o: o} }
+
+// Stop makes the daemon unready and asks callers to open other connections.
+func (l *Listener) Stop() { l.stopping.Store(true) }
+
+// Handler returns the HTTP interface.
+func (l *Listener) Handler() http.Handler {
+	m := goji.NewMux()
+	m.Use(l.observe)
+	m.HandleFunc(pat.Post("/v1/chat/completions"), l.serveChat)
+	m.HandleFunc(pat.Post("/v1/services/:target"), l.serveService)
+	m.HandleFunc(pat.Post("/v1/programs"), l.serveCreate)
+	m.HandleFunc(pat.Get("/v1/programs/:id"), l.serveRead)
+	m.HandleFunc(pat.Delete("/v1/programs/:id"), l.serveEnd)
+	m.HandleFunc(pat.Get("/v1/programs/:id/calls/:number"), l.serveLookup)
+	m.HandleFunc(pat.Get("/healthz"), l.serveHealth)
+	m.HandleFunc(pat.Get("/readyz"), l.serveReady)
+	if l.o.Metrics != nil {
+		m.Handle(pat.Get("/metrics"), l.o.Metrics)
+	}
+	return m
+}
+
+// observe counts requests, recovers from panics and closes connections while stopping.
+func (l *Listener) observe(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		timer := l.o.Scope.Timer("request").Start()
+		defer timer.Stop()
+		defer func() {
+			p := recover()
+			if p == nil {
+				return
+			}
+			if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+				panic(p)
+			}
+			klog.Errorf("listener: %s %s: %v", r.Method, r.URL.Path, p)
+			writeFault(w, classifier.New(classifier.Internal, classifier.RanUnknown, "unexpected failure"))
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// account returns the client account of the bearer key.
+func (l *Listener) account(r *http.Request) (declarer.Account, *classifier.Fault) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		if a, found := l.o.Config.Snapshot().Account(key); found {
+			return a, nil
+		}
+	}
+	l.o.Scope.Counter("bad-keys").Inc(1)
+	return declarer.Account{}, classifier.New(classifier.BadKey, classifier.RanNo, "the Authorization header has no key of a client account")
+}
+
+// call returns a call with what headers and declarations say of it.
+func (l *Listener) call(r *http.Request, a declarer.Account, target string, kind declarer.Kind) (*conductor.Call, *classifier.Fault) {
+	t, ok := l.o.Config.Snapshot().Target(target)
+	if !ok || t.Kind != kind || !slices.Contains(a.Targets, target) {
+		return nil, classifier.New(classifier.NoSuchTarget, classifier.RanNo, "the account reaches no %s target %q", kind, target)
+	}
+	h, f := readLabels(r)
+	if f != nil {
+		return nil, f
+	}
+	c := &conductor.Call{Account: a, Program: h.program, Number: h.number, Key: h.key, Target: t, Deadline: h.deadline}
+	return c, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *classifier.Fault) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, classifier.New(classifier.TooLarge, classifier.RanNo, "body: at most %d bytes are allowed", limit)
+	}
+	if err != nil {
+		return nil, classifier.New(classifier.BadRequest, classifier.RanNo, "body: %v", err)
+	}
+	return data, nil
+}
+
+func (l *Listener) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// serveReady tells the balancer whether to open connections here.
+func (l *Listener) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if l.stopping.Load() {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	if err := l.o.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
--- /dev/null
+++ b/internal/lister/lister.go
@@ -0,0 +1,76 @@
+package lister
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gopkg.in/tomb.v2"
+	"k8s.io/klog/v2"
+
+	"pimentorail.example/pimentorail/internal/storer"
+)
+
+const period = time.Second
+
+// Source returns the platform's list; a storer.Client is one.
+type Source interface {
+	Machines(ctx context.Context) ([]storer.Machine, error)
+}
+
+// Lister keeps the last list that was read.
+type Lister struct {
+	source  Source
+	mu      sync.Mutex
+	leaving map[string]bool
+	tomb    *tomb.Tomb
+}
+
+// New returns a lister with an empty list.
+func New(s Source) *Lister { return &Lister{source: s, leaving: map[string]bool{}} }
+
+// Start follows the list until the context ends.
+func (l *Lister) Start(ctx context.Context) {
+	l.tomb, _ = tomb.WithContext(ctx)
+	l.tomb.Go(l.run)
+}
+
+// Wait returns when the lister has stopped.
+func (l *Lister) Wait() error { return l.tomb.Wait() }
+
+func (l *Lister) run() error {
+	ctx := l.tomb.Context(context.Background())
+	for {
+		l.Tick(ctx)
+		select {
+		case <-time.After(period):
+		case <-l.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// Tick reads the list once; a failed read keeps the last list.
+func (l *Lister) Tick(ctx context.Context) {
+	vms, err := l.source.Machines(ctx)
+	if err != nil {
+		klog.V(1).Infof("lister: %v", err)
+		return
+	}
+	leaving := make(map[string]bool, len(vms))
+	for _, m := range vms {
+		if m.Leaving {
+			leaving[m.Address] = true
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving = leaving
+}
+
+// Leaving reports whether the VM of an address is listed as leaving.
+func (l *Lister) Leaving(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaving[address]
+}
--- /dev/null
+++ b/internal/sequencer/finish.go
@@ -0,0 +1,288 @@
+package sequencer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/journaler"
+	"pimentorail.example/pimentorail/internal/leaser"
+	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/pkg/classifier"
+)
+
+// Finish records the outcome of a call; without a fault in the reply the record is committed.
+func (o *Owner) Finish(ctx context.Context, q *FinishRequest, r *FinishReply) {
+	k := q.Ticket
+	if r.Fault = k.Name.Check(); r.Fault != nil {
+		return
+	}
+	f, ok := o.fence(k.Name)
+	if !ok {
+		r.Moved = true
+		return
+	}
+	t, p, fault := o.enter(ctx, k.Name)
+	if fault != nil {
+		r.Fault = fault.With(classifier.RanUnknown)
+		return
+	}
+	record, fault := o.settle(ctx, f, t, p, q)
+	t.release()
+	if fault != nil || record == nil {
+		r.Fault = fault
+		return
+	}
+	o.awaitCommit(ctx, record, r)
+}
+
+func (o *Owner) awaitCommit(ctx context.Context, record *journaler.Record, r *FinishReply) {
+	ctx, cancel := context.WithTimeout(ctx, commitWait)
+	defer cancel()
+	switch err := record.Wait(ctx); {
+	case err == nil:
+	case errors.Is(err, journaler.ErrFenced):
+		r.Moved = true
+	default:
+		r.Fault = classifier.New(classifier.Doubt, classifier.RanUnknown, "the outcome is not recorded yet").After(storeRetry)
+	}
+}
+
+// settle decides on an outcome for a locked tree and returns the record to wait for.
+func (o *Owner) settle(ctx context.Context, f leaser.Fence, t *tree, p *program, q *FinishRequest) (*journaler.Record, *classifier.Fault) {
+	k := q.Ticket
+	if turn, ok := p.turn(k.Number, ""); ok {
+		return o.resettle(f, p, turn, q)
+	}
+	c := p.open
+	switch {
+	case c == nil && k.Number == p.row.Next:
+		// The owner changed or the ticket expired; the reservation is already spent.
+		k.Reserved = 0
+		p.open = &call{ticket: k, repeatable: true}
+		c = p.open
+	case c == nil || c.ticket.Attempt != k.Attempt:
+		return nil, classifier.New(classifier.TicketExpired, q.Outcome.Ran, "another attempt of call %d took over", k.Number)
+	case c.settling != nil:
+		return c.settling, nil
+	}
+	if len(c.ticket.Messages) == 0 {
+		c.ticket.Messages = k.Messages
+	}
+	if q.Outcome.Ran == classifier.RanNo || (k.Kind == ModelCall && q.Outcome.Ran != classifier.RanYes) {
+		return nil, o.release(f, t, p, q)
+	}
+	return o.record(ctx, f, t, p, q.Outcome)
+}
+
+// resettle accepts a repeated outcome, and a known one in place of an unknown one.
+func (o *Owner) resettle(f leaser.Fence, p *program, turn *turnRow, q *FinishRequest) (*journaler.Record, *classifier.Fault) {
+	if turn.Attempt != q.Ticket.Attempt {
+		return nil, classifier.New(classifier.TicketExpired, q.Outcome.Ran, "another attempt of call %d is recorded", turn.Number)
+	}
+	if turn.Outcome.Ran != classifier.RanUnknown || q.Outcome.Ran == classifier.RanUnknown {
+		return nil, nil
+	}
+	next := *turn
+	next.Outcome = q.Outcome
+	next.Outcome.Number = turn.Number
+	w, err := encodeTurn(context.Background(), o.o.Objects, p.name, next)
+	if err != nil {
+		return nil, storeAway(err).With(classifier.RanUnknown)
+	}
+	record, fault := o.submit(p.name, f, []storer.Write{w})
+	if fault != nil {
+		return nil, fault.With(classifier.RanUnknown)
+	}
+	*turn = next
+	return record, nil
+}
+
+// release withdraws a call that did not run, or a model call that failed.
+func (o *Owner) release(f leaser.Fence, t *tree, p *program, q *FinishRequest) *classifier.Fault {
+	used := 0
+	if q.Outcome.Ran != classifier.RanNo {
+		used = p.open.ticket.Reserved
+	}
+	persisted := p.open.persisted
+	o.withdraw(t, p, used)
+	if !persisted && used == 0 {
+		return nil
+	}
+	writes, err := t.rows(p)
+	if err != nil {
+		return classifier.From(err)
+	}
+	// The withdrawal need not be durable before the answer: a lost one leaves an intent in doubt.
+	_, fault := o.submit(p.name, f, writes)
+	return fault
+}
+
+// record appends the turn of the open call and returns the record that commits it.
+func (o *Owner) record(ctx context.Context, f leaser.Fence, t *tree, p *program, out Outcome) (*journaler.Record, *classifier.Fault) {
+	c := p.open
+	k := c.ticket
+	out.Number = k.Number
+	turn := turnRow{
+		Number: k.Number, Kind: k.Kind, Key: k.Key, Hash: k.Hash, Attempt: k.Attempt,
+		Messages: k.Messages, Outcome: out, Previous: p.row.Chain,
+	}
+	turn.Chain = link(p.row.Chain, turn)
+	tw, err := encodeTurn(ctx, o.o.Objects, p.name, turn)
+	if err != nil {
+		return nil, storeAway(err).With(classifier.RanUnknown)
+	}
+	used := 0
+	if k.Kind == ModelCall {
+		used = min(k.Reserved, max(0, out.Usage.Prompt-p.row.History)+out.Usage.Completion)
+		p.row.History = out.Usage.Prompt + out.Usage.Completion
+		p.row.Attained += out.Usage.Prompt - out.Usage.Cached + out.Usage.Completion
+		p.row.Last = out.Target
+	}
+	t.inUse -= k.Reserved
+	t.charge(p, used)
+	p.row.Chain, p.row.Next, p.row.Intent = turn.Chain, k.Number+1, nil
+	writes, err := t.rows(p)
+	if err != nil {
+		return nil, classifier.From(err)
+	}
+	record, fault := o.submit(p.name, f, append(writes, tw))
+	if fault != nil {
+		// Memory is ahead of the store: forget it and let the program be loaded again.
+		o.drop(p.name.Root(), t)
+		return nil, fault.With(classifier.RanUnknown)
+	}
+	c.settling = record
+	s := &settlement{owner: o, tree: t, program: p, turn: turn, record: record}
+	o.tomb.Go(s.run)
+	return record, nil
+}
+
+// rows returns the writes of the program and of its root.
+func (t *tree) rows(p *program) ([]storer.Write, error) {
+	w, err := encodeProgram(p.name, p.row)
+	if err != nil || p == t.root {
+		return []storer.Write{w}, err
+	}
+	root, err := encodeProgram(t.root.name, t.root.row)
+	return []storer.Write{w, root}, err
+}
+
+// settlement makes a turn visible once it is committed.
+type settlement struct {
+	owner   *Owner
+	tree    *tree
+	program *program
+	turn    turnRow
+	record  *journaler.Record
+}
+
+func (s *settlement) run() error {
+	select {
+	case <-s.record.Done():
+	case <-s.owner.tomb.Dying():
+		return nil
+	}
+	s.tree.acquire()
+	defer s.tree.release()
+	if s.record.Err() != nil {
+		s.owner.drop(s.program.name.Root(), s.tree)
+		return nil
+	}
+	s.program.remember(s.turn)
+	s.program.free()
+	return nil
+}
+
+// Renew keeps a ticket alive and notes the target that serves it.
+func (o *Owner) Renew(ctx context.Context, q *RenewRequest, r *RenewReply) {
+	if _, ok := o.fence(q.Name); !ok {
+		r.Moved = true
+		return
+	}
+	t, p, fault := o.enter(ctx, q.Name)
+	if fault != nil {
+		return
+	}
+	defer t.release()
+	if c := p.open; c != nil && c.ticket.Attempt == q.Attempt {
+		c.expires = time.Now().Add(ticketLifetime)
+		if q.Target != "" {
+			c.target = q.Target
+		}
+		r.Alive = true
+	}
+}
+
+// sweep settles calls whose tickets expired and forgets idle trees.
+func (o *Owner) sweep() {
+	o.mu.Lock()
+	trees := make(map[Name]*tree, len(o.trees))
+	for n, t := range o.trees {
+		trees[n] = t
+	}
+	o.mu.Unlock()
+	o.forgetSettled()
+	for n, t := range trees {
+		select {
+		case t.lock <- struct{}{}:
+			o.sweepTree(n, t)
+			t.release()
+		default:
+		}
+	}
+}
+
+// forgetSettled drops the settled records of roots.
+func (o *Owner) forgetSettled() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for n, r := range o.pending {
+		select {
+		case <-r.Done():
+			delete(o.pending, n)
+		default:
+		}
+	}
+}
+
+func (o *Owner) sweepTree(n Name, t *tree) {
+	f, ok := o.fence(n)
+	if !ok || t.root == nil {
+		return
+	}
+	now := time.Now()
+	for _, p := range t.programs {
+		if c := p.open; c != nil && c.settling == nil && now.After(c.expires) {
+			o.expire(f, t, p)
+		}
+	}
+	if !t.busy() && t.inUse == 0 && now.Sub(t.used) > idleTree {
+		o.retire(f, n, t)
+	}
+}
+
+// retire returns the unused reservation to the budget and forgets the tree.
+func (o *Owner) retire(f leaser.Fence, n Name, t *tree) {
+	if t.root.row.Reserved > 0 {
+		t.root.row.Reserved = 0
+		if w, err := encodeProgram(t.root.name, t.root.row); err == nil {
+			_, _ = o.submit(n, f, []storer.Write{w})
+		}
+		t.used = time.Now()
+		return
+	}
+	o.drop(n, t)
+}
+
+// expire settles a call whose entry is gone: one that must not be repeated is recorded as unknown.
+func (o *Owner) expire(f leaser.Fence, t *tree, p *program) {
+	c := p.open
+	if !c.persisted {
+		o.withdraw(t, p, c.ticket.Reserved)
+		return
+	}
+	fault := classifier.New(classifier.OutcomeUnknown, classifier.RanUnknown, "the entry of call %d is gone", c.ticket.Number)
+	_, _ = o.record(context.Background(), f, t, p, Outcome{Ran: classifier.RanUnknown, Fault: fault, Target: c.target})
+}
--- /dev/null
+++ b/internal/sequencer/rows.go
@@ -0,0 +1,127 @@
+package sequencer
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/storer"
+)
+
+const inlineBytes = 32 << 10
+
+const (
+	stateLive  = "live"
+	stateEnded = "ended"
+)
+
+// programRow is the durable state of a program.
+type programRow struct {
+	State    string  `json:"state"`
+	Budget   int     `json:"budget"`
+	Spent    int     `json:"spent"`
+	Reserved int     `json:"reserved,omitempty"`
+	Next     int     `json:"next"`
+	Chain    string  `json:"chain"`
+	History  int     `json:"history-tokens"`
+	Attained int     `json:"attained"`
+	Intent   *intent `json:"intent,omitempty"`
+	Last     string  `json:"last-target,omitempty"`
+}
+
+// intent is the durable record of a call that may be under way and must not be repeated.
+type intent struct {
+	Number  int    `json:"number"`
+	Attempt string `json:"attempt"`
+	Key     string `json:"key,omitempty"`
+	Hash    string `json:"hash"`
+	Target  string `json:"target"`
+}
+
+// turnRow is the durable record of a call.
+type turnRow struct {
+	Number   int               `json:"number"`
+	Kind     Kind              `json:"kind"`
+	Key      string            `json:"key,omitempty"`
+	Hash     string            `json:"hash"`
+	Attempt  string            `json:"attempt"`
+	Messages []json.RawMessage `json:"messages,omitempty"`
+	Outcome  Outcome           `json:"outcome"`
+	Previous string            `json:"previous"`
+	Chain    string            `json:"chain"`
+	// Object is the key of the object that holds the turn if it is long.
+	Object string `json:"object,omitempty"`
+}
+
+// link returns the chain value after a turn; the outcome of a service call is
+// left out, since a late answer may replace an unknown one.
+func link(previous string, t turnRow) string {
+	h := sha256.New()
+	h.Write([]byte(previous))
+	h.Write([]byte(t.Hash))
+	if t.Kind == ModelCall {
+		for _, m := range t.Messages {
+			h.Write(m)
+		}
+		h.Write(t.Outcome.Content)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+func encodeProgram(n Name, r programRow) (storer.Write, error) {
+	data, err := json.Marshal(r)
+	return storer.Write{Key: n.rowKey(), Value: data}, errors.Wrap(err, "encode program")
+}
+
+func decodeProgram(data []byte) (programRow, error) {
+	var r programRow
+	if err := json.Unmarshal(data, &r); err != nil {
+		return r, errors.Wrap(err, "program row")
+	}
+	if r.State != stateLive && r.State != stateEnded {
+		return r, errors.Errorf("program row: state %q is neither live nor ended", r.State)
+	}
+	if r.Next < 1 || r.Spent < 0 || r.Reserved < 0 {
+		return r, errors.New("program row: a count is out of range")
+	}
+	return r, nil
+}
+
+// encodeTurn returns the write of a turn; a long one goes to the object store first.
+func encodeTurn(ctx context.Context, o storer.Objects, n Name, t turnRow) (storer.Write, error) {
+	data, err := json.Marshal(t)
+	if err != nil {
+		return storer.Write{}, errors.Wrap(err, "encode turn")
+	}
+	if len(data) > inlineBytes {
+		sum := sha256.Sum256(data)
+		key := hex.EncodeToString(sum[:])
+		if err := o.Put(ctx, key, data); err != nil {
+			return storer.Write{}, errors.Wrap(err, "store turn")
+		}
+		short := turnRow{Number: t.Number, Kind: t.Kind, Key: t.Key, Hash: t.Hash, Chain: t.Chain, Object: key}
+		if data, err = json.Marshal(short); err != nil {
+			return storer.Write{}, errors.Wrap(err, "encode turn")
+		}
+	}
+	return storer.Write{Key: n.turnKey(t.Number), Value: data}, nil
+}
+
+func decodeTurn(ctx context.Context, o storer.Objects, data []byte) (turnRow, error) {
+	var t turnRow
+	if err := json.Unmarshal(data, &t); err != nil {
+		return t, errors.Wrap(err, "turn row")
+	}
+	if t.Object == "" {
+		return t, nil
+	}
+	long, err := o.Fetch(ctx, t.Object)
+	if err != nil {
+		return t, errors.Wrapf(err, "turn %d", t.Number)
+	}
+	var whole turnRow
+	return whole, errors.Wrapf(json.Unmarshal(long, &whole), "turn %d", t.Number)
+}
--- /dev/null
+++ b/internal/storer/errors.go
@@ -0,0 +1,12 @@
+package storer
+
+import "github.com/pkg/errors"
+
+// ErrConflict says that a condition did not hold and nothing was written.
+var ErrConflict = errors.New("storer: condition does not hold")
+
+// ErrAbsent says that an object does not exist.
+var ErrAbsent = errors.New("storer: no such object")
+
+// ErrUnavailable says that the service did not answer; a write may have taken effect.
+var ErrUnavailable = errors.New("storer: service does not answer")
--- /dev/null
+++ b/internal/storer/scan.go
@@ -0,0 +1,22 @@
+package storer
+
+import "context"
+
+const pageRows = 500
+
+// All returns every row with the prefix, page by page.
+func All(ctx context.Context, t Table, prefix string) ([]Row, error) {
+	var rows []Row
+	after := ""
+	for {
+		page, err := t.Scan(ctx, prefix, after, pageRows)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, page...)
+		if len(page) < pageRows {
+			return rows, nil
+		}
+		after = page[len(page)-1].Key
+	}
+}
--- /dev/null
+++ b/internal/storer/table.go
@@ -0,0 +1,48 @@
+package storer
+
+import "context"
+
+// Row is one row of the table service; Version is zero for an absent row.
+type Row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"version"`
+}
+
+// Condition requires a row to have a version; zero requires it to be absent.
+type Condition struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Write replaces or deletes a row.
+type Write struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+// Transaction is a set of writes that takes effect whole or not at all.
+type Transaction struct {
+	Conditions []Condition `json:"conditions,omitempty"`
+	Writes     []Write     `json:"writes"`
+}
+
+// Table is the platform's transactional table service.
+type Table interface {
+	// Get returns a row, with version zero if it is absent.
+	Get(ctx context.Context, key string) (Row, error)
+	// Scan returns up to limit rows with the prefix, in order, after the given key.
+	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit applies a transaction and returns the version that its rows now have.
+	// ErrConflict means not applied; any other error leaves it in doubt.
+	Commit(ctx context.Context, tx Transaction) (uint64, error)
+}
+
+// Objects is the platform's object store, keyed by content hash.
+type Objects interface {
+	// Put stores data under a key; repeating it is harmless.
+	Put(ctx context.Context, key string, data []byte) error
+	// Fetch returns the data of a key, or ErrAbsent.
+	Fetch(ctx context.Context, key string) ([]byte, error)
+}
