scheduler: [fix] keep the window from closing on ordinary delays

Cause: Window compared the delay to the first token with twice the least delay ever seen. A call joins the batch between two steps, so its delay varies by several steps; nearly every observation counted as congestion and the window closed to one. Engines ran 1.2 calls a step on average (batch-tokens by busy-steps of the stand-ins). Change: the base follows the low end of the delays and a delay counts only beyond twice the base and four steps.

--- a/internal/allocator/replica.go
+++ b/internal/allocator/replica.go
@@ -158,7 +158,7 @@
 	r.queue.Charge(s.account, service-s.cost)
 	r.pace.ObserveFirst(q.First)
 	r.pace.ObserveCall(since, service, q.Gap, q.Took, s.beside)
-	r.window.Observe(q.First-time.Duration(q.Prefill)*prefillTime, s.full)
+	r.window.Observe(q.First-time.Duration(q.Prefill)*prefillTime, q.Gap, s.full)
 }
 
 const prefillTime = 20 * time.Microsecond
--- a/internal/conductor/place.go
+++ b/internal/conductor/place.go
@@ -54,7 +54,7 @@
 		return nil, classifier.New(classifier.TargetAway, classifier.RanNo, "no replica of %q takes calls", w.call.Target.Name).After(time.Second)
 	}
 	var fault *classifier.Fault
-	for _, cand := range w.rank(ctx, names) {
+	for _, cand := range w.rank(names) {
 		s, f := w.acquire(ctx, cand)
 		if f == nil {
 			return s, nil
@@ -86,7 +86,7 @@
 }
 
 // rank probes a short list of replicas and orders them by expected completion.
-func (w *work) rank(ctx context.Context, names []string) []router.Candidate {
+func (w *work) rank(names []string) []router.Candidate {
 	last := ""
 	if w.begun != nil {
 		last = w.begun.LastTarget
--- a/internal/emulator/balancer.go
+++ b/internal/emulator/balancer.go
@@ -52,7 +52,7 @@
 
 // connect tries each back once, from the next in turn.
 func (b *Balancer) connect() (net.Conn, error) {
-	var last error = io.EOF
+	last := io.EOF
 	start := b.next.Add(1)
 	for i := range b.backs {
 		back := b.backs[(start+uint64(i))%uint64(len(b.backs))]
--- a/internal/listener/chat.go
+++ b/internal/listener/chat.go
@@ -32,8 +32,8 @@
 	} `json:"stream_options"`
 }
 
-// ParseChat checks and decodes the body of a chat-completions request.
-func ParseChat(data []byte) (*chatRequest, *classifier.Fault) {
+// parseChat checks and decodes the body of a chat-completions request.
+func parseChat(data []byte) (*chatRequest, *classifier.Fault) {
 	var q chatRequest
 	if err := json.Unmarshal(data, &q); err != nil {
 		return nil, classifier.New(classifier.BadRequest, classifier.RanNo, "body: %v", err)
@@ -86,7 +86,7 @@
 		writeFault(w, f)
 		return
 	}
-	q, f := ParseChat(body)
+	q, f := parseChat(body)
 	if f != nil {
 		writeFault(w, f)
 		return
--- a/internal/scheduler/window.go
+++ b/internal/scheduler/window.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	windowShrink   = 0.85
+	windowShrink   = 0.9
 	delayTolerance = 2.0
-	baseRise       = 1.002
+	gapTolerance   = 4.0
+	baseFall       = 0.2
+	baseRise       = 0.01
 	minWindow      = 1
 )
 
@@ -16,7 +18,7 @@
 	size  float64
 	limit float64
 	fixed bool
-	base  time.Duration
+	base  float64
 	hold  int
 }
 
@@ -33,25 +35,38 @@
 // Size returns the number of calls that may be in flight.
 func (w *Window) Size() int { return int(w.size) }
 
-// Observe takes the delay to the first token beyond the expected prefill; full
-// says that the window was in full use when the call started.
-func (w *Window) Observe(delay time.Duration, full bool) {
+// Observe takes the delay to the first token beyond the expected prefill, and
+// the time between tokens. A delay of a few steps is ordinary, since a call
+// joins the batch between two steps; full says that the window was in full use
+// when the call started.
+func (w *Window) Observe(delay, gap time.Duration, full bool) {
 	if w.fixed || delay <= 0 {
 		return
 	}
-	if w.base == 0 || delay < w.base {
-		w.base = delay
-	}
-	w.base = time.Duration(float64(w.base) * baseRise)
+	d := float64(delay)
+	congested := w.base > 0 && d > delayTolerance*w.base+gapTolerance*float64(gap)
+	w.follow(d)
 	if w.hold > 0 {
 		w.hold--
 		return
 	}
 	switch {
-	case float64(delay) > delayTolerance*float64(w.base):
+	case congested:
 		w.size = max(minWindow, w.size*windowShrink)
 		w.hold = int(w.size)
 	case full:
 		w.size = min(w.limit, w.size+1/w.size)
 	}
 }
+
+// follow keeps the base near the low end of the delays: it falls fast and rises slowly.
+func (w *Window) follow(d float64) {
+	switch {
+	case w.base == 0:
+		w.base = d
+	case d < w.base:
+		w.base += baseFall * (d - w.base)
+	default:
+		w.base += baseRise * (d - w.base)
+	}
+}
--- a/internal/sequencer/begin.go
+++ b/internal/sequencer/begin.go
@@ -31,7 +31,7 @@
 			r.Fault = fault
 			return
 		}
-		wait, record := o.admit(ctx, f, t, p, q, r)
+		wait, record := o.admit(f, t, p, q, r)
 		if wait == nil {
 			t.release()
 			if record != nil {
@@ -81,7 +81,7 @@
 
 // admit decides on a call of a locked tree: it fills the reply, or returns what
 // to wait for, or the record that must commit before the ticket may be used.
-func (o *Owner) admit(ctx context.Context, f leaser.Fence, t *tree, p *program, q *BeginRequest, r *BeginReply) (<-chan struct{}, *journaler.Record) {
+func (o *Owner) admit(f leaser.Fence, t *tree, p *program, q *BeginRequest, r *BeginReply) (<-chan struct{}, *journaler.Record) {
 	if turn, ok := p.turn(q.Number, q.Key); ok {
 		r.replay(turn, q)
 		return nil, nil
