--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -158,9 +158,30 @@
 }
 
 // runProgram runs a call of a program; it goes on when the caller leaves, so
-// that a caller that comes back gets the whole answer.
+// that a caller that comes back gets the whole answer. A repeatable call that
+// may have run is begun again, so that each attempt has its own reservation.
 func (c *Conductor) runProgram(ctx context.Context, call *Call) (*sequencer.Outcome, *classifier.Fault) {
-	w := &work{conductor: c, call: call, attempt: uuid.NewString()}
+	ran := classifier.RanNo
+	for attempt := 1; ; attempt++ {
+		w := &work{conductor: c, call: call, attempt: uuid.NewString()}
+		out, f := w.run(ctx)
+		if f == nil {
+			return out, nil
+		}
+		if f.Ran != classifier.RanNo {
+			ran = f.Ran
+		}
+		again := f.Ran == classifier.RanUnknown && call.repeatable() && f.Code.OfTarget()
+		if !again || w.emitted || attempt == maxAttempts || ctx.Err() != nil {
+			return nil, f.With(ran)
+		}
+		call.Number = w.begun.Ticket.Number
+	}
+}
+
+// run begins, dispatches and finishes one attempt at a call of a program.
+func (w *work) run(ctx context.Context) (*sequencer.Outcome, *classifier.Fault) {
+	c := w.conductor
 	b, f := w.begin(ctx)
 	if f != nil {
 		return nil, f
@@ -178,7 +199,7 @@
 	return w.finish(ctx, out, f)
 }
 
-// draw returns a random generator's value under the lock.
+// shortlist draws the replicas to ask.
 func (c *Conductor) shortlist(replicas []string, last, prefix string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/conductor/dispatch.go
+++ b/internal/conductor/dispatch.go
@@ -15,19 +15,18 @@
 
 const stragglerLimit = time.Minute
 
-// dispatch places and sends the call; a repeatable one that failed is placed again.
+// dispatch places and sends the call; it is placed again only if it did not run.
 func (w *work) dispatch(ctx context.Context) (*sequencer.Outcome, *classifier.Fault) {
 	var f *classifier.Fault
 	failed := map[string]bool{}
-	ran := classifier.RanNo
 	for range maxAttempts {
 		s, placed := w.place(ctx, failed)
 		if placed != nil {
-			return nil, placed.With(ran)
+			return nil, placed
 		}
 		if w.keeper != nil && !w.keeper.valid() {
 			s.release(allocator.ReleaseRequest{})
-			return nil, classifier.New(classifier.TicketExpired, ran, "the ticket expired before dispatch").After(time.Second)
+			return nil, classifier.New(classifier.TicketExpired, classifier.RanNo, "the ticket expired before dispatch").After(time.Second)
 		}
 		var out *sequencer.Outcome
 		out, f = w.send(ctx, s)
@@ -35,18 +34,14 @@
 			return out, nil
 		}
 		failed[s.replica] = true
-		if f.Ran != classifier.RanNo {
-			ran = f.Ran
-		}
-		again := f.Ran == classifier.RanNo || (w.call.repeatable() && !w.emitted)
-		if !again || ctx.Err() != nil {
+		if f.Ran != classifier.RanNo || ctx.Err() != nil {
 			break
 		}
 	}
 	if f.RetryAfterMS == 0 {
 		f = f.After(time.Second)
 	}
-	return nil, f.With(ran)
+	return nil, f
 }
 
 // send sends the call to the replica of a slot and returns the slot.
--- a/internal/configurer/watcher.go
+++ b/internal/configurer/watcher.go
@@ -35,14 +35,14 @@
 	snapshot  *Snapshot
 	recent    []Change
 	confirmed time.Time
-	tick      sync.Mutex
+	tick      chan struct{}
 	tomb      *tomb.Tomb
 }
 
 // NewWatcher returns a watcher with nothing in force; peers and reporter may be nil.
 func NewWatcher(g *Registry, p Peers, r Reporter) *Watcher {
 	empty, _ := newSnapshot(0, nil)
-	return &Watcher{registry: g, peers: p, reporter: r, snapshot: empty}
+	return &Watcher{registry: g, peers: p, reporter: r, snapshot: empty, tick: make(chan struct{}, 1)}
 }
 
 // SetReporter sets who is told the version in force, before Start.
@@ -71,8 +71,12 @@
 
 // Tick brings the head into force once, from the store or else from a peer.
 func (w *Watcher) Tick(ctx context.Context) {
-	w.tick.Lock()
-	defer w.tick.Unlock()
+	select {
+	case w.tick <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-w.tick }()
 	start := time.Now()
 	err := w.follow(ctx)
 	if err == nil {
@@ -190,10 +194,6 @@
 	if w.Sure() {
 		return true
 	}
-	if !w.tick.TryLock() {
-		return w.Sure()
-	}
-	w.tick.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, refreshWait)
 	defer cancel()
 	w.Tick(ctx)
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -87,6 +87,8 @@
 	sent   bool
 	text   strings.Builder
 	result *ModelResult
+	// over says that the engine did not stop at the token limit.
+	over bool
 }
 
 // Model runs a model call and returns its whole answer; errors are of type *Error.
@@ -112,6 +114,9 @@
 		d.Cancel(address, q.ID)
 		return ModelResult{Text: s.text.String(), Completion: s.next}, err
 	}
+	if s.over {
+		d.Cancel(address, q.ID)
+	}
 	return *s.result, nil
 }
 
@@ -193,6 +198,9 @@
 	if c.Finish != "" {
 		return true, s.end(c)
 	}
+	if s.request.MaxTokens > 0 && s.next >= s.request.MaxTokens {
+		return true, s.overshoot()
+	}
 	if s.next == 0 {
 		s.first = time.Now()
 	}
@@ -204,23 +212,39 @@
 	return false, nil
 }
 
+// overshoot ends the answer of an engine that goes on past the token limit.
+// Without a usage report the prompt counts as one token a byte.
+func (s *reading) overshoot() error {
+	s.over = true
+	prompt := 0
+	for _, m := range s.request.Messages {
+		prompt += len(m)
+	}
+	s.finish("length", prompt, 0)
+	return nil
+}
+
 func (s *reading) end(c chunk) error {
 	if c.Finish == "cancelled" || c.Usage == nil {
 		return fail(classifier.TargetBroken, classifier.RanUnknown, errors.Errorf("stream ended as %q", c.Finish))
 	}
+	s.finish(c.Finish, c.Usage.Prompt, c.Usage.Cached)
+	return nil
+}
+
+func (s *reading) finish(reason string, prompt, cached int) {
 	now := time.Now()
 	if s.next == 0 {
 		s.first = now
 	}
 	r := &ModelResult{
-		Text: s.text.String(), Finish: c.Finish, Prompt: c.Usage.Prompt,
-		Completion: s.next, Cached: c.Usage.Cached, First: s.first.Sub(s.start), Took: now.Sub(s.start),
+		Text: s.text.String(), Finish: reason, Prompt: prompt,
+		Completion: s.next, Cached: cached, First: s.first.Sub(s.start), Took: now.Sub(s.start),
 	}
 	if s.next > 1 {
 		r.Gap = now.Sub(s.first) / time.Duration(s.next-1)
 	}
 	s.result = r
-	return nil
 }
 
 // Cancel stops a stream at an engine; it is best effort.
--- a/pkg/classifier/code.go
+++ b/pkg/classifier/code.go
@@ -102,6 +102,9 @@
 	return http.StatusInternalServerError
 }
 
+// OfTarget reports whether the code blames the target.
+func (c Code) OfTarget() bool { return c/1000 == 4 }
+
 // Text returns the code's sentence in the table of the docs.
 func (c Code) Text() string { return table[c].text }
 
