leaser,limiter,scheduler: [fix] close races that the contract tests found

Cause, leaser: (1) a holder that lapsed and renewed counted as owner again while an observer that had judged it gone swapped the row; (2) a handover was given up only after the swap, so a lost answer left two owners; (3) an observer read the members before the partitions and judged leases as of after the read. Change: after a lapse, and for any row that names the daemon, ownership is taken by compare-and-swap; a handover gives up first; the map is read before the members and leases are judged as of before that read. Cause, limiter: a holder whose request lost its answer kept a slice that the owner had granted to another (TestNeverAboveTheLimit: 2 of 1). It now gives up what it returns before it asks. Cause, scheduler: the base of the window followed a lasting congestion within fifty calls and the window opened again; it rises by 0.2 percent a call now.

--- /dev/null
+++ b/internal/journaler/journaler_test.go
@@ -0,0 +1,207 @@
+package journaler_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+	"pgregory.net/rapid"
+
+	"pimentorail.example/pimentorail/internal/emulator"
+	"pimentorail.example/pimentorail/internal/journaler"
+	"pimentorail.example/pimentorail/internal/leaser"
+	"pimentorail.example/pimentorail/internal/storer"
+)
+
+// faulty is a table whose commits fail as told, one verdict a commit.
+type faulty struct {
+	*emulator.Store
+	verdicts []string
+	commits  []storer.Transaction
+	late     []storer.Transaction
+}
+
+// Commit implements storer.Table.
+func (f *faulty) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
+	verdict := "ok"
+	if len(f.verdicts) > 0 {
+		verdict, f.verdicts = f.verdicts[0], f.verdicts[1:]
+	}
+	f.commits = append(f.commits, tx)
+	switch verdict {
+	case "lost-before":
+		return 0, storer.ErrUnavailable
+	case "lost-after":
+		_, err := f.Store.Commit(ctx, tx)
+		if errors.Is(err, storer.ErrConflict) {
+			return 0, err
+		}
+		return 0, storer.ErrUnavailable
+	case "late":
+		f.late = append(f.late, tx)
+		return 0, storer.ErrUnavailable
+	}
+	return f.Store.Commit(ctx, tx)
+}
+
+// deliver applies the commits that were held back.
+func (f *faulty) deliver() {
+	for _, tx := range f.late {
+		_, _ = f.Store.Commit(context.Background(), tx)
+	}
+	f.late = nil
+}
+
+func own(t *emulator.Store, partition int) leaser.Fence {
+	row, _ := t.Get(context.Background(), leaser.PartitionKey(partition))
+	v, err := t.Commit(context.Background(), storer.Transaction{
+		Conditions: []storer.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []storer.Write{{Key: row.Key, Value: []byte(`{"session":"s"}`)}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return leaser.Fence{Partition: partition, Version: v}
+}
+
+func TestCommitFaults(t *testing.T) {
+	rows := []struct {
+		name     string
+		verdicts []string
+		stolen   bool
+		want     error
+		present  bool
+	}{
+		{"answered", nil, false, nil, true},
+		{"lost before the write", []string{"lost-before"}, false, nil, true},
+		{"lost after the write", []string{"lost-after"}, false, nil, true},
+		{"lost after the write, twice", []string{"lost-before", "lost-after"}, false, nil, true},
+		{"late beside its repeat", []string{"late"}, false, nil, true},
+		{"partition taken over", nil, true, journaler.ErrFenced, false},
+		{"partition taken over, late", []string{"late"}, true, journaler.ErrFenced, false},
+		{"partition taken over, lost before", []string{"lost-before"}, true, journaler.ErrFenced, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &faulty{Store: emulator.NewStore(), verdicts: row.verdicts}
+				fence := own(f.Store, 1)
+				if row.stolen {
+					own(f.Store, 1)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				j := journaler.New(journaler.Options{Table: f, Session: "s"})
+				r, err := j.Submit(fence, []storer.Write{{Key: "k", Value: []byte("v")}})
+				is.NoErr(err)
+				j.Start(ctx)
+				err = r.Wait(ctx)
+				is.True(errors.Is(err, row.want) || (err == nil && row.want == nil))
+				before, _ := f.Get(ctx, "k")
+				f.deliver()
+				after, _ := f.Get(ctx, "k")
+				is.Equal(before.Version, after.Version) // A late duplicate must not write again.
+				is.Equal(after.Version != 0, row.present)
+				cancel()
+				_ = j.Wait()
+			})
+		})
+	}
+}
+
+func TestDoubtEndsTheWaitAndNotTheWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := emulator.NewStore()
+		fence := own(s, 1)
+		s.SetFaults(emulator.StoreFaults{Down: true})
+		ctx, cancel := context.WithCancel(context.Background())
+		j := journaler.New(journaler.Options{Table: s, Session: "s"})
+		j.Start(ctx)
+		r, err := j.Submit(fence, []storer.Write{{Key: "k", Value: []byte("v")}})
+		is.NoErr(err)
+		short, stop := context.WithTimeout(ctx, time.Second)
+		is.True(errors.Is(r.Wait(short), journaler.ErrDoubt))
+		stop()
+		is.True(j.Away())
+		s.SetFaults(emulator.StoreFaults{})
+		is.NoErr(r.Wait(ctx))
+		is.True(!j.Away())
+		cancel()
+		_ = j.Wait()
+	})
+}
+
+// TestRecordsAgainstOracle submits records of several partitions while answers
+// are lost, commits come late and partitions are taken over, and compares the
+// rows with what was reported.
+func TestRecordsAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		verdicts := rapid.SliceOfN(rapid.SampledFrom([]string{"ok", "lost-before", "lost-after", "late"}), 0, 20).Draw(rt, "verdicts")
+		steps := rapid.SliceOfN(rapid.SampledFrom([]string{"write-0", "write-1", "write-2", "steal-0", "steal-1", "deliver", "wait"}), 1, 30).Draw(rt, "steps")
+		broken := ""
+		synctest.Test(t, func(*testing.T) { broken = playRecords(verdicts, steps) })
+		if broken != "" {
+			rt.Fatal(broken)
+		}
+	})
+}
+
+// written is a submitted record and the row that it must have written.
+type written struct {
+	record *journaler.Record
+	key    string
+	value  string
+}
+
+func playRecords(verdicts, steps []string) string {
+	f := &faulty{Store: emulator.NewStore(), verdicts: verdicts}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	j := journaler.New(journaler.Options{Table: f, Session: "s", Interval: 10 * time.Millisecond})
+	j.Start(ctx)
+	fences := []leaser.Fence{own(f.Store, 0), own(f.Store, 1), own(f.Store, 2)}
+	var all []written
+	for i, s := range steps {
+		n, _ := strconv.Atoi(s[len(s)-1:])
+		switch s[:2] {
+		case "wr":
+			w := written{key: fmt.Sprintf("k%d", i), value: s}
+			w.record, _ = j.Submit(fences[n], []storer.Write{{Key: w.key, Value: []byte(w.value)}})
+			all = append(all, w)
+		case "st":
+			own(f.Store, n)
+		case "de":
+			f.deliver()
+		case "wa":
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	time.Sleep(time.Minute)
+	f.deliver()
+	for _, w := range all {
+		err := w.record.Wait(ctx)
+		row, _ := f.Get(ctx, w.key)
+		if (err == nil) != (string(row.Value) == w.value) {
+			return fmt.Sprintf("%s: reported %v, row %q", w.key, err, row.Value)
+		}
+		if err != nil && !errors.Is(err, journaler.ErrFenced) {
+			return fmt.Sprintf("%s: %v", w.key, err)
+		}
+	}
+	return ""
+}
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
--- a/internal/leaser/access.go
+++ b/internal/leaser/access.go
@@ -17,11 +17,16 @@
 	return l.validLocked()
 }
 
-// Owns returns the fence of a partition that this daemon owns under a valid lease.
+// Owns returns the fence of a partition that this daemon owns under a valid
+// lease. Whoever asks for another one may know of a handover first, so the map
+// is read again soon.
 func (l *Leaser) Owns(p int) (Fence, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	f, ok := l.held[p]
+	if !ok {
+		l.Refresh()
+	}
 	return f, ok && l.validLocked()
 }
 
@@ -100,9 +105,7 @@
 	l.mu.Unlock()
 	for {
 		l.Refresh()
-		l.mu.Lock()
-		left := len(l.held)
-		l.mu.Unlock()
+		left := l.named()
 		if left == 0 {
 			return nil
 		}
@@ -114,6 +117,19 @@
 	}
 }
 
+// named returns the number of partitions that are held or whose rows name this daemon.
+func (l *Leaser) named() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.held)
+	for p, o := range l.owners {
+		if _, held := l.held[p]; !held && o.Session == l.o.Session {
+			n++
+		}
+	}
+	return n
+}
+
 // End stops renewing and deletes the member row.
 func (l *Leaser) End(ctx context.Context) {
 	l.mu.Lock()
--- a/internal/leaser/balance.go
+++ b/internal/leaser/balance.go
@@ -52,8 +52,7 @@
 func (l *Leaser) plan() []move {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
-	live := l.liveLocked(now, false)
+	live := l.liveLocked(l.before, false)
 	var moves []move
 	for n := range l.o.Partitions {
 		to, ok := Desired(n, live)
@@ -65,8 +64,13 @@
 		m := move{partition: n, to: to, row: row, epoch: owner.Epoch + 1}
 		_, m.held = l.held[n]
 		mine := to.Session == l.o.Session
-		orphan := row.Version == 0 || l.goneLocked(owner.Session, now)
-		if (m.held && !mine) || (!m.held && mine && orphan) {
+		orphan := row.Version == 0 || l.goneLocked(owner.Session, l.before)
+		// A row that names this daemon is taken too: others may race to take it over.
+		named := owner.Session == l.o.Session
+		if named && !m.held {
+			m.to, mine = l.self, true
+		}
+		if (m.held && !mine) || (!m.held && mine && (orphan || named)) {
 			moves = append(moves, m)
 		}
 	}
@@ -123,30 +127,24 @@
 	return nil
 }
 
+// handOver gives a partition up before the swap: its answer may be lost. A
+// swap that failed leaves a row that names this daemon, which is taken again.
 func (l *Leaser) handOver(ctx context.Context, m move) error {
-	l.mu.Lock()
-	l.moving[m.partition] = true
-	l.mu.Unlock()
-	defer func() {
-		l.mu.Lock()
-		delete(l.moving, m.partition)
-		l.mu.Unlock()
-	}()
 	drain, cancel := context.WithTimeout(ctx, drainTimeout)
 	err := l.o.Observer.Drain(drain, m.partition)
 	cancel()
 	if err != nil {
 		return errors.Wrap(err, "drain")
 	}
+	l.lose(m.partition)
 	version, err := l.swap(ctx, m)
 	if err != nil {
 		return err
 	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.owners[m.partition] = Partition{Session: m.to.Session, Address: m.to.Address, Epoch: m.epoch}
 	l.rows[m.partition] = storer.Row{Key: m.row.Key, Version: version}
-	l.mu.Unlock()
-	l.lose(m.partition)
 	return nil
 }
 
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -62,10 +62,11 @@
 	rows    map[int]storer.Row
 	owners  map[int]Partition
 	held    map[int]Fence
-	moving  map[int]bool
-	synced  time.Time
-	kick    chan struct{}
-	tomb    *tomb.Tomb
+	// before is when the last read of the members began; leases are judged as of then.
+	before time.Time
+	synced time.Time
+	kick   chan struct{}
+	tomb   *tomb.Tomb
 }
 
 // New returns a leaser that holds nothing yet.
@@ -84,7 +85,7 @@
 		self: Member{Session: o.Session, Address: o.Address, Zone: o.Zone, State: Live},
 		seen: map[string]sighting{}, missing: map[string]time.Time{},
 		rows: map[int]storer.Row{}, owners: map[int]Partition{},
-		held: map[int]Fence{}, moving: map[int]bool{}, kick: make(chan struct{}, 1),
+		held: map[int]Fence{}, kick: make(chan struct{}, 1),
 	}
 }
 
@@ -195,7 +196,15 @@
 	return cause
 }
 
+// extend takes a renewal. After a lapse others may be taking partitions over
+// right now, so all are given up and taken again by compare-and-swap.
 func (l *Leaser) extend(start time.Time, version uint64) {
+	l.mu.Lock()
+	lapsed := !l.validLocked()
+	l.mu.Unlock()
+	if lapsed {
+		l.loseAll()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.renewed, l.version = start, version
@@ -205,37 +214,37 @@
 func (l *Leaser) abandon() {
 	l.mu.Lock()
 	l.version = 0
-	lost := make([]int, 0, len(l.held))
-	for p := range l.held {
-		lost = append(lost, p)
-	}
 	l.mu.Unlock()
-	for _, p := range lost {
-		l.lose(p)
+	l.loseAll()
+}
+
+func (l *Leaser) loseAll() {
+	for _, f := range l.Held() {
+		l.lose(f.Partition)
 	}
 }
 
-// look reads the members and the partition map.
+// look reads the partition map and then the members. The order matters: a member
+// that took a partition before the map was read is seen with its renewal.
 func (l *Leaser) look(ctx context.Context) error {
-	members, err := storer.All(ctx, l.o.Table, memberPrefix)
-	if err != nil {
-		return errors.Wrap(err, "members")
-	}
 	parts, err := storer.All(ctx, l.o.Table, partitionPrefix)
 	if err != nil {
 		return errors.Wrap(err, "partitions")
 	}
-	now := time.Now()
+	before := time.Now()
+	members, err := storer.All(ctx, l.o.Table, memberPrefix)
+	if err != nil {
+		return errors.Wrap(err, "members")
+	}
 	l.mu.Lock()
-	l.sight(members, now)
+	l.before, l.synced = before, time.Now()
+	l.sight(members, l.synced)
 	l.chart(parts)
-	l.synced = now
 	lost := l.stolen()
 	l.mu.Unlock()
 	for _, p := range lost {
 		l.lose(p)
 	}
-	l.adopt()
 	return nil
 }
 
@@ -284,25 +293,6 @@
 	return lost
 }
 
-// adopt holds partitions whose rows name this daemon, as after a handover or a lost answer.
-func (l *Leaser) adopt() {
-	l.mu.Lock()
-	var gained []Fence
-	for n, p := range l.owners {
-		_, held := l.held[n]
-		if p.Session == l.o.Session && !held && l.validLocked() {
-			f := Fence{Partition: n, Version: l.rows[n].Version, Epoch: p.Epoch}
-			l.held[n] = f
-			gained = append(gained, f)
-		}
-	}
-	l.mu.Unlock()
-	slices.SortFunc(gained, func(a, b Fence) int { return a.Partition - b.Partition })
-	for _, f := range gained {
-		l.o.Observer.Gained(f)
-	}
-}
-
 func (l *Leaser) lose(p int) {
 	l.mu.Lock()
 	_, held := l.held[p]
--- /dev/null
+++ b/internal/limiter/limiter_test.go
@@ -0,0 +1,65 @@
+package limiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pimentorail.example/pimentorail/internal/limiter"
+)
+
+// TestNeverAboveTheLimit lets several holders ask, lose answers, and use their
+// slices while owners change, and adds up what is in use by valid slices.
+func TestNeverAboveTheLimit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limit := rapid.IntRange(1, 10).Draw(rt, "limit")
+		now := time.Duration(0)
+		owner := limiter.NewGrants(now, false)
+		holders := make([]limiter.Slice, 4)
+		rt.Repeat(map[string]func(*rapid.T){
+			"ask": func(rt *rapid.T) {
+				h := rapid.IntRange(0, 3).Draw(rt, "holder")
+				s := &holders[h]
+				sent := now
+				want := s.Wanted(rapid.IntRange(0, 3).Draw(rt, "extra"))
+				s.Offer(want)
+				held := s.Amount(sent)
+				now += time.Duration(rapid.IntRange(0, 400).Draw(rt, "there")) * time.Millisecond
+				amount := owner.Ask(fmt.Sprint(h), want, held, limit, now)
+				if rapid.Bool().Draw(rt, "answered") {
+					s.Set(amount, sent)
+				}
+			},
+			"take": func(rt *rapid.T) { holders[rapid.IntRange(0, 3).Draw(rt, "holder")].Take(now) },
+			"give": func(rt *rapid.T) {
+				if s := &holders[rapid.IntRange(0, 3).Draw(rt, "holder")]; s.InUse() > 0 {
+					s.Give(now)
+				}
+			},
+			"wait":      func(rt *rapid.T) { now += time.Duration(rapid.IntRange(1, 4000).Draw(rt, "ms")) * time.Millisecond },
+			"take-over": func(*rapid.T) { owner = limiter.NewGrants(now, true) },
+			"": func(rt *rapid.T) {
+				sum := 0
+				for i := range holders {
+					sum += holders[i].Amount(now)
+				}
+				if sum > limit {
+					rt.Fatalf("holders may use %d of %d", sum, limit)
+				}
+			},
+		})
+	})
+}
+
+func TestOneHolderKeepsNothingFromAnother(t *testing.T) {
+	is := is.New(t)
+	g := limiter.NewGrants(0, false)
+	is.Equal(g.Ask("a", 10, 0, 10, 0), 10)
+	is.Equal(g.Ask("b", 1, 0, 10, 0), 0)
+	is.Equal(g.Ask("a", 4, 10, 10, time.Second), 4)
+	is.Equal(g.Ask("b", 5, 0, 10, time.Second), 5)
+	is.Equal(g.Granted(time.Second), 9)
+}
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -139,7 +139,9 @@
 	defer func() { <-h.ask }()
 	p.mu.Lock()
 	sent := time.Since(p.start)
-	q := AskRequest{Account: account, Holder: p.holder, Want: h.slice.Wanted(extra), Held: h.slice.Amount(sent)}
+	want := h.slice.Wanted(extra)
+	h.slice.Offer(want)
+	q := AskRequest{Account: account, Holder: p.holder, Want: want, Held: h.slice.Amount(sent)}
 	p.mu.Unlock()
 	r, err := p.asker.Ask(ctx, q)
 	if err != nil {
--- a/internal/limiter/slice.go
+++ b/internal/limiter/slice.go
@@ -43,6 +43,10 @@
 // Wanted returns what the holder should ask for: what is in use and extra units.
 func (s *Slice) Wanted(extra int) int { return s.inUse + extra }
 
+// Offer gives up what a request for want units returns: the request may take
+// effect though its answer is lost.
+func (s *Slice) Offer(want int) { s.amount = min(s.amount, want) }
+
 // Set takes the owner's answer to a request that was sent at a time.
 func (s *Slice) Set(amount int, sent time.Duration) {
 	s.amount = amount
--- a/internal/scheduler/window.go
+++ b/internal/scheduler/window.go
@@ -7,7 +7,7 @@
 	delayTolerance = 2.0
 	gapTolerance   = 4.0
 	baseFall       = 0.2
-	baseRise       = 0.01
+	baseRise       = 0.002
 	minWindow      = 1
 )
 
--- a/internal/trial/customer_test.go
+++ b/internal/trial/customer_test.go
@@ -99,7 +99,7 @@
 	done  chan struct{}
 }
 
-func (a *attempt) run(n *node, call *conductor.Call, ctx context.Context) {
+func (a *attempt) run(ctx context.Context, n *node, call *conductor.Call) {
 	a.out, a.fault = n.conductor.Run(ctx, call)
 	close(a.done)
 }
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tryLimit)
 	defer cancel()
 	a := &attempt{done: make(chan struct{})}
-	go a.run(n, call, ctx)
+	go a.run(ctx, n, call)
 	select {
 	case <-a.done:
 		return a.out, a.fault
