trial: spread calls and faults over the same time

Cause: a mutant of the program owner that forgets intents of calls that must not be repeated passed 400 scenarios: calls took 10 ms and were done in the first second, and faults fell over 30 s, so few met.

--- a/internal/trial/customer_test.go
+++ b/internal/trial/customer_test.go
@@ -24,6 +24,8 @@
 	Effect bool
 	// Twice sends the same call through two nodes at once.
 	Twice bool
+	// Pause is the time before the call.
+	Pause time.Duration
 }
 
 // told is what a customer was told of a call in the end.
@@ -69,6 +71,7 @@
 		c.created = c.create(ctx)
 	}
 	for i, s := range c.steps {
+		time.Sleep(s.Pause)
 		t := c.call(ctx, i+1, s)
 		c.told = append(c.told, t)
 		if t.ran == classifier.RanNo || (t.ran == classifier.RanUnknown && !s.Effect) {
--- a/internal/trial/targets_test.go
+++ b/internal/trial/targets_test.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	tokenTime    = 5 * time.Millisecond
-	serviceTime  = 10 * time.Millisecond
+	tokenTime    = 30 * time.Millisecond
+	serviceTime  = 400 * time.Millisecond
 	servicePlace = "service"
 	enginePlace  = "engine"
 )
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -43,20 +43,23 @@
 	s := scenario{Nodes: rapid.IntRange(2, 4).Draw(t, "nodes")}
 	for range rapid.IntRange(1, 5).Draw(t, "programs") {
 		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-			return step{Effect: rapid.Bool().Draw(t, "effect"), Twice: rapid.IntRange(0, 4).Draw(t, "twice") == 0}
+			return step{
+				Effect: rapid.Bool().Draw(t, "effect"), Twice: rapid.IntRange(0, 4).Draw(t, "twice") == 0,
+				Pause: time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond,
+			}
 		}), 1, 8).Draw(t, "steps")
 		s.Programs = append(s.Programs, steps)
 		s.Budgets = append(s.Budgets, rapid.SampledFrom([]int{60, 200, 5000, 100_000}).Draw(t, "budget"))
 	}
 	s.Events = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
 		return event{
-			At:    time.Duration(rapid.IntRange(0, 30_000).Draw(t, "at")) * time.Millisecond,
+			At:    time.Duration(rapid.IntRange(0, 15_000).Draw(t, "at")) * time.Millisecond,
 			Kind:  rapid.SampledFrom(kinds).Draw(t, "kind"),
 			Node:  rapid.IntRange(0, 5).Draw(t, "node"),
 			Other: rapid.IntRange(0, 5).Draw(t, "other"),
 			For:   time.Duration(rapid.IntRange(50, 20_000).Draw(t, "for")) * time.Millisecond,
 		}
-	}), 0, 6).Draw(t, "events")
+	}), 0, 8).Draw(t, "events")
 	return s
 }
 
