router,scheduler,limiter,emulator: weigh a prefill by what it delays

Change: the prefill time is learned from first tokens, and counts once for each call in flight. The stand-in caches answers with their prompts, as engines do. The limiter's wait of 3 s after a takeover counts from the takeover and not from the first call of an account.

--- a/internal/allocator/owner.go
+++ b/internal/allocator/owner.go
@@ -230,7 +230,7 @@
 	now := time.Now()
 	a.Leaving = r.leaving
 	a.Wait = r.wait(q.Account, q.Weight) + max(0, r.paused.Sub(now))
-	a.Gap, a.Tokens = r.pace.Gap(), r.pace.Tokens()
+	a.Gap, a.Prefill, a.Tokens = r.pace.Gap(), r.pace.Prefill(), r.pace.Tokens()
 	a.Stale = r.pace.Stale(now.Sub(o.start), paceAge)
 	a.InFlight, a.Window, a.Queued = len(r.slots), r.window.Size(), r.queue.Len()
 }
--- a/internal/allocator/replica.go
+++ b/internal/allocator/replica.go
@@ -156,13 +156,11 @@
 	}
 	service := float64(q.Service) + prefillWeight*float64(q.Prefill)
 	r.queue.Charge(s.account, service-s.cost)
-	r.pace.ObserveFirst(q.First)
+	r.pace.ObserveFirst(q.First, q.Prefill)
 	r.pace.ObserveCall(since, service, q.Gap, q.Took, s.beside)
-	r.window.Observe(q.First-time.Duration(q.Prefill)*prefillTime, q.Gap, s.full)
+	r.window.Observe(q.First-time.Duration(q.Prefill)*r.pace.Prefill(), q.Gap, s.full)
 }
 
-const prefillTime = 20 * time.Microsecond
-
 // expire returns the slots of entries that are gone, and forgets calls that no one asks for.
 func (r *replica) expire(now time.Time, gone func(session string) bool) {
 	for id, s := range r.slots {
--- a/internal/allocator/wire.go
+++ b/internal/allocator/wire.go
@@ -64,6 +64,7 @@
 	Leaving  bool
 	Wait     time.Duration
 	Gap      time.Duration
+	Prefill  time.Duration
 	Tokens   float64
 	Stale    bool
 	InFlight int
--- a/internal/conductor/place.go
+++ b/internal/conductor/place.go
@@ -125,6 +125,7 @@
 		return
 	}
 	p.into.Wait, p.into.Gap, p.into.Stale = r.Wait, r.Gap, r.Stale
+	p.into.Prefill, p.into.Beside = r.Prefill, r.InFlight
 }
 
 // acquire queues at a replica until a slot is granted or the wait is refused.
--- a/internal/emulator/cache.go
+++ b/internal/emulator/cache.go
@@ -39,12 +39,19 @@
 	nodes := make([]prefixNode, 0, len(messages))
 	chain := uint64(0)
 	for _, m := range messages {
-		chain = xxhash.Sum64String(strconv.FormatUint(chain, 16) + "\x00" + m.Role + "\x00" + m.Content)
-		nodes = append(nodes, prefixNode{hash: chain, tokens: CountTokens(m.Content)})
+		n := extend(chain, m)
+		chain = n.hash
+		nodes = append(nodes, n)
 	}
 	return nodes
 }
 
+// extend returns the node of a message after a prefix.
+func extend(chain uint64, m Message) prefixNode {
+	hash := xxhash.Sum64String(strconv.FormatUint(chain, 16) + "\x00" + m.Role + "\x00" + m.Content)
+	return prefixNode{hash: hash, tokens: CountTokens(m.Content)}
+}
+
 // CountTokens returns the tokens that an engine counts for a text.
 func CountTokens(text string) int { return (len(text) + bytesPerToken - 1) / bytesPerToken }
 
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -134,7 +134,7 @@
 		s.decode()
 		e.counts.Decoded++
 		if s.done() {
-			e.cache.insert(s.nodes)
+			e.cache.insert(append(s.nodes, s.answerNode()))
 		}
 	}
 	e.running = slices.DeleteFunc(e.running, (*stream).done)
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -59,6 +60,15 @@
 
 func word(seed uint64, i int) string { return fmt.Sprintf("%04x-%d ", seed&0xffff, i) }
 
+// answerNode returns the node of the whole answer, which stays in the cache with its prompt.
+func (s *stream) answerNode() prefixNode {
+	chain := uint64(0)
+	if n := len(s.nodes); n > 0 {
+		chain = s.nodes[n-1].hash
+	}
+	return extend(chain, Message{Role: "assistant", Content: strings.Join(s.tokens, "")})
+}
+
 func (s *stream) done() bool { return s.finish != "" }
 
 func (s *stream) wake() {
--- a/internal/limiter/grants.go
+++ b/internal/limiter/grants.go
@@ -17,14 +17,10 @@
 	settled time.Duration
 }
 
-// NewGrants returns the state of an account taken over at a time: nothing new
-// is granted until earlier slices have expired.
-func NewGrants(now time.Duration, takenOver bool) *Grants {
-	g := &Grants{holders: map[string]grant{}}
-	if takenOver {
-		g.settled = now + Lifetime
-	}
-	return g
+// NewGrants returns the state of an account whose partition was taken over at
+// a time: nothing new is granted until earlier slices have expired.
+func NewGrants(gained time.Duration) *Grants {
+	return &Grants{holders: map[string]grant{}, settled: gained + Lifetime}
 }
 
 // Ask sets a holder's slice to want if the limit allows it, and returns the slice.
--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -17,7 +17,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		limit := rapid.IntRange(1, 10).Draw(rt, "limit")
 		now := time.Duration(0)
-		owner := limiter.NewGrants(now, false)
+		owner := limiter.NewGrants(-limiter.Lifetime)
 		holders := make([]limiter.Slice, 4)
 		rt.Repeat(map[string]func(*rapid.T){
 			"ask": func(rt *rapid.T) {
@@ -40,7 +40,7 @@
 				}
 			},
 			"wait":      func(rt *rapid.T) { now += time.Duration(rapid.IntRange(1, 4000).Draw(rt, "ms")) * time.Millisecond },
-			"take-over": func(*rapid.T) { owner = limiter.NewGrants(now, true) },
+			"take-over": func(*rapid.T) { owner = limiter.NewGrants(now) },
 			"": func(rt *rapid.T) {
 				sum := 0
 				for i := range holders {
@@ -56,7 +56,7 @@
 
 func TestOneHolderKeepsNothingFromAnother(t *testing.T) {
 	is := is.New(t)
-	g := limiter.NewGrants(0, false)
+	g := limiter.NewGrants(-limiter.Lifetime)
 	is.Equal(g.Ask("a", 10, 0, 10, 0), 10)
 	is.Equal(g.Ask("b", 1, 0, 10, 0), 0)
 	is.Equal(g.Ask("a", 4, 10, 10, time.Second), 4)
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -25,12 +25,13 @@
 	limits   Limits
 	mu       sync.Mutex
 	accounts map[string]*Grants
+	gained   map[int]time.Duration
 	start    time.Time
 }
 
 // NewOwner returns an owner without grants.
 func NewOwner(h Holder, l Limits) *Owner {
-	return &Owner{holder: h, limits: l, accounts: map[string]*Grants{}, start: time.Now()}
+	return &Owner{holder: h, limits: l, accounts: map[string]*Grants{}, gained: map[int]time.Duration{}, start: time.Now()}
 }
 
 // PartitionOf returns the partition that an account belongs to.
@@ -38,8 +39,13 @@
 	return leaser.PartitionOf("account/"+account, partitions)
 }
 
-// Gained implements leaser.Observer.
-func (o *Owner) Gained(f leaser.Fence) { o.Lost(f.Partition) }
+// Gained implements leaser.Observer: slices of an earlier owner may live for one lifetime.
+func (o *Owner) Gained(f leaser.Fence) {
+	o.Lost(f.Partition)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.gained[f.Partition] = time.Since(o.start)
+}
 
 // Lost implements leaser.Observer: grants of the partition's accounts are forgotten.
 func (o *Owner) Lost(partition int) {
@@ -59,7 +65,8 @@
 func (o *Owner) Ask(q *AskRequest, r *AskReply) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.holder.Keeps(PartitionOf(q.Account, o.holder.Partitions())) {
+	partition := PartitionOf(q.Account, o.holder.Partitions())
+	if !o.holder.Keeps(partition) {
 		r.Moved = true
 		return
 	}
@@ -70,7 +77,7 @@
 	now := time.Since(o.start)
 	g := o.accounts[q.Account]
 	if g == nil {
-		g = NewGrants(now, true)
+		g = NewGrants(o.gained[partition])
 		o.accounts[q.Account] = g
 	}
 	r.Amount = g.Ask(q.Holder, q.Want, min(q.Held, limit), limit, now)
--- a/internal/loader/player.go
+++ b/internal/loader/player.go
@@ -164,7 +164,7 @@
 	if want := emulator.AnswerTo(s.Text, s.Tokens); text != want {
 		g.player.recorder.broke("program %s: the answer has %d bytes in place of %d, or is another's", p.ID(), len(text), len(want))
 	}
-	g.player.recorder.tokens(strings.Count(text, " "))
+	g.player.recorder.tokens(strings.Count(text, " "), emulator.CountTokens(s.Text))
 	return text, nil
 }
 
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -37,13 +37,15 @@
 	Refusals  map[string]int `json:"refusals"`
 	Unknown   int            `json:"unknown-outcomes"`
 	Tokens    int            `json:"tokens"`
-	Doubled   int            `json:"doubled-side-effects"`
-	LostTurns int            `json:"lost-turns"`
-	NotRunRan int            `json:"not-run-but-ran"`
-	Missing   int            `json:"ran-but-no-effect"`
-	Broken    []string       `json:"broken-promises"`
-	Seconds   float64        `json:"seconds"`
-	ByAccount map[int]int    `json:"finished-by-account"`
+	// NewPrompt is the number of prompt tokens that no engine can have cached.
+	NewPrompt int         `json:"new-prompt-tokens"`
+	Doubled   int         `json:"doubled-side-effects"`
+	LostTurns int         `json:"lost-turns"`
+	NotRunRan int         `json:"not-run-but-ran"`
+	Missing   int         `json:"ran-but-no-effect"`
+	Broken    []string    `json:"broken-promises"`
+	Seconds   float64     `json:"seconds"`
+	ByAccount map[int]int `json:"finished-by-account"`
 }
 
 // recorder gathers a report from many players.
@@ -96,10 +98,11 @@
 	_ = c.first.RecordValue(d.Microseconds())
 }
 
-func (c *recorder) tokens(n int) {
+func (c *recorder) tokens(generated, prompt int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.report.Tokens += n
+	c.report.Tokens += generated
+	c.report.NewPrompt += prompt
 }
 
 func (c *recorder) told(body, target string, ran classifier.Ran) {
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -9,12 +9,14 @@
 
 // Pace is a replica's speed as seen by our own streams.
 type Pace struct {
-	gap    float64
-	first  float64
-	tokens float64
-	rate   float64
-	seen   int
-	last   time.Duration
+	gap     float64
+	first   float64
+	least   float64
+	prefill float64
+	tokens  float64
+	rate    float64
+	seen    int
+	last    time.Duration
 }
 
 // Gap returns the smoothed time between tokens, zero if unknown.
@@ -34,10 +36,25 @@
 	return p.rate
 }
 
-const minObserved = 8
+const (
+	minObserved = 8
+	minComputed = 64
+)
+
+// Prefill returns the smoothed time to compute one prompt token, zero if unknown.
+func (p *Pace) Prefill() time.Duration { return time.Duration(p.prefill) }
 
-// ObserveFirst takes the time to the first token of a call.
-func (p *Pace) ObserveFirst(d time.Duration) { smooth(&p.first, float64(d), paceWeight) }
+// ObserveFirst takes the time to the first token of a call and the number of
+// prompt tokens that were computed for it.
+func (p *Pace) ObserveFirst(d time.Duration, computed int) {
+	smooth(&p.first, float64(d), paceWeight)
+	if p.least == 0 || float64(d) < p.least {
+		p.least = float64(d)
+	}
+	if computed >= minComputed {
+		smooth(&p.prefill, (float64(d)-p.least)/float64(computed), rateWeight)
+	}
+}
 
 // ObserveCall takes a finished call: its service in tokens, its time between
 // tokens, and how many calls were in flight with it.
