sequencer,runner,listener: [fix] show a recorded turn before it is answered

Cause: Finish answered once its record was committed, while another goroutine made the turn visible; a read that came at once missed the turn. Change: the answer waits for the settlement, which ends once the turn is visible. A late answer replaces an unknown one only once it is committed. Also: a daemon without declarations answered bad-key; it answers config-unsure with when to come back. Metrics have a registry of their own.

--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 	"goji.io"
@@ -16,7 +17,37 @@
 
 // Platform serves a Store over HTTP.
 type Platform struct {
-	store *Store
+	store    *Store
+	received atomic.Int64
+	sent     atomic.Int64
+}
+
+// PlatformCounts counts requests and the bytes of their bodies.
+type PlatformCounts struct {
+	StoreCounts
+	Received int64 `json:"bytes-received"`
+	Sent     int64 `json:"bytes-sent"`
+}
+
+// counting adds up the bytes of an answer's body.
+type counting struct {
+	http.ResponseWriter
+	sent *atomic.Int64
+}
+
+// Write implements io.Writer.
+func (c *counting) Write(data []byte) (int, error) {
+	n, err := c.ResponseWriter.Write(data)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// count counts the bytes of bodies both ways.
+func (p *Platform) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.received.Add(max(0, r.ContentLength))
+		next.ServeHTTP(&counting{w, &p.sent}, r)
+	})
 }
 
 // NewPlatform returns a platform over a store.
@@ -25,6 +56,7 @@
 // Handler returns the platform's HTTP interface.
 func (p *Platform) Handler() http.Handler {
 	m := goji.NewMux()
+	m.Use(p.count)
 	m.HandleFunc(pat.Post("/table/get"), p.get)
 	m.HandleFunc(pat.Post("/table/scan"), p.scan)
 	m.HandleFunc(pat.Post("/table/commit"), p.commit)
@@ -101,7 +133,7 @@
 }
 
 func (p *Platform) counts(w http.ResponseWriter, _ *http.Request) {
-	answer(w, p.store.Counts(), nil)
+	answer(w, PlatformCounts{p.store.Counts(), p.received.Load(), p.sent.Load()}, nil)
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
@@ -91,9 +92,13 @@
 
 // account returns the client account of the bearer key.
 func (l *Listener) account(r *http.Request) (declarer.Account, *classifier.Fault) {
+	snapshot := l.o.Config.Snapshot()
+	if snapshot.Version() == 0 {
+		return declarer.Account{}, classifier.New(classifier.ConfigUnsure, classifier.RanNo, "no declarations are in force yet").After(time.Second)
+	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if ok {
-		if a, found := l.o.Config.Snapshot().Account(key); found {
+		if a, found := snapshot.Account(key); found {
 			return a, nil
 		}
 	}
--- a/internal/loader/plan.go
+++ b/internal/loader/plan.go
@@ -56,7 +56,7 @@
 	Accounts int
 	// Span is the time over which programs arrive.
 	Span time.Duration
-	// Stragglers is the part of programs whose answers are Longer times as long.
+	// Stragglers is the part of programs whose first answer is Longer times as long.
 	Stragglers float64
 	Longer     int
 	// Burst multiplies the arrivals in the middle fifth of the span.
@@ -78,11 +78,10 @@
 		p.Account = accountOf(r, o.Accounts)
 		p.Arrival = arrival(float64(i)/float64(o.Programs), o)
 		p.Long = r.Float64() < o.Stragglers
-		factor := 1
+		m := &maker{random: r, shape: o.Shapes[i%len(o.Shapes)], id: p.ID}
 		if p.Long {
-			factor = max(1, o.Longer)
+			m.factor = o.Longer
 		}
-		m := &maker{random: r, shape: o.Shapes[i%len(o.Shapes)], id: p.ID, factor: factor}
 		p.Steps = m.steps(3+r.IntN(5), true)
 	}
 	return programs
@@ -108,6 +107,9 @@
 	return time.Duration(at * float64(o.Span))
 }
 
+// longAnswer is the answer that stragglers multiply, in tokens: the middle of ordinary ones.
+const longAnswer = 22
+
 // maker makes the steps of one program.
 type maker struct {
 	random *rand.Rand
@@ -138,7 +140,10 @@
 func (m *maker) ask() Step {
 	m.count++
 	tokens := int(8 * math.Exp(0.8*m.random.NormFloat64()+1))
-	tokens = min(400, max(4, tokens)) * m.factor
+	tokens = min(400, max(4, tokens))
+	if m.count == 1 && m.factor > 0 {
+		tokens = longAnswer * m.factor
+	}
 	words := 20 + m.random.IntN(60)
 	if m.shape == Auction {
 		words *= 4
--- /dev/null
+++ b/internal/runner/daemon_test.go
@@ -0,0 +1,331 @@
+package runner_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"k8s.io/klog/v2"
+
+	"pimentorail.example/pimentorail/internal/configurer"
+	"pimentorail.example/pimentorail/internal/declarer"
+	"pimentorail.example/pimentorail/internal/emulator"
+	"pimentorail.example/pimentorail/internal/runner"
+	"pimentorail.example/pimentorail/pkg/caller"
+	"pimentorail.example/pimentorail/pkg/classifier"
+)
+
+const key = "a-key-of-the-falaj"
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// bench is one deployment over loopback.
+type bench struct {
+	store    *emulator.Store
+	engine   *emulator.Engine
+	tool     *emulator.Tool
+	daemons  []*runner.Daemon
+	bases    []string
+	platform string
+}
+
+func hashOf(k string) string {
+	sum := sha256.Sum256([]byte(k))
+	return hex.EncodeToString(sum[:])
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newBench(t *testing.T, daemons int) *bench {
+	t.Helper()
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &bench{store: emulator.NewStore(), tool: emulator.NewTool(time.Millisecond)}
+	b.engine = emulator.NewEngine(ctx, emulator.EngineOptions{Gap: time.Millisecond})
+	platform := httptest.NewServer(emulator.NewPlatform(b.store).Handler())
+	engine := httptest.NewServer(b.engine.Handler())
+	tool := httptest.NewServer(b.tool.Handler())
+	b.platform = address(platform)
+	replica := func(s *httptest.Server) []declarer.Replica {
+		return []declarer.Replica{{Name: "r1", Address: address(s), Zone: "sohar"}}
+	}
+	account := func(name, k string) declarer.Account {
+		return declarer.Account{Name: name, KeyHash: hashOf(k), Weight: 1, InFlight: 20, Targets: []string{"chat", "ledger"}, ProgramBudget: 100_000}
+	}
+	d := &declarer.Declarations{
+		Accounts: []declarer.Account{account("falaj", key), account("kamalig", "another-key")},
+		Targets: []declarer.Target{
+			{Name: "chat", Kind: declarer.Engine, Window: 8, WindowLimit: 16, Replicas: replica(engine)},
+			{Name: "ledger", Kind: declarer.Service, TimeoutMS: 2000, Window: 8, WindowLimit: 16, Replicas: replica(tool)},
+		},
+		Policy: declarer.Policy{StoreOutage: declarer.GoOn, QueueLimitMS: 20_000, NewProgramLimitMS: 20_000, MaxTokens: 256, HoldIdleMS: 60_000},
+	}
+	g := configurer.NewRegistry(b.store)
+	empty, err := g.Load(ctx)
+	is.NoErr(err)
+	_, err = g.Apply(ctx, empty, d, "test", "")
+	is.NoErr(err)
+	for range daemons {
+		base := freePort(t)
+		x := runner.New(runner.Settings{
+			HTTP: base, RPC: freePort(t), Zone: "sohar", Platform: b.platform, Secret: "a-secret-for-tests",
+			Partitions: 8, StopLimitMS: 30_000,
+		})
+		is.NoErr(x.Start(ctx))
+		b.daemons = append(b.daemons, x)
+		b.bases = append(b.bases, "http://"+base)
+	}
+	t.Cleanup(func() {
+		for _, x := range b.daemons {
+			x.Kill()
+		}
+		cancel()
+		_ = b.engine.Wait()
+		platform.Close()
+		engine.Close()
+		tool.Close()
+	})
+	for i := range daemons {
+		_, err := b.client(i).Create(ctx, caller.ProgramOptions{ID: "warm-up", Budget: 1})
+		is.NoErr(err)
+	}
+	return b
+}
+
+func (b *bench) client(i int) *caller.Client {
+	return caller.New(caller.Options{Base: b.bases[i%len(b.bases)], Key: key})
+}
+
+func TestStockClientPlainAndStreamed(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1)
+	ctx := context.Background()
+	_, err := b.client(0).Create(ctx, caller.ProgramOptions{ID: "order-7", Budget: 10_000})
+	is.NoErr(err)
+	client := openai.NewClient(option.WithBaseURL(b.bases[0]+"/v1"), option.WithAPIKey(key), option.WithHeader("Pimentorail-Program", "order-7"))
+	first := "shade roof of 4 by 6? tokens=9"
+	params := openai.ChatCompletionNewParams{Model: "chat", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(first)}}
+	plain, err := client.Chat.Completions.New(ctx, params)
+	is.NoErr(err)
+	is.Equal(plain.Choices[0].Message.Content, emulator.AnswerTo(first, 9))
+	is.Equal(plain.Usage.CompletionTokens, int64(9))
+
+	// A stock client sends the whole conversation each time.
+	second := "and with arish panels? tokens=11"
+	params.Messages = append(params.Messages, plain.Choices[0].Message.ToParam(), openai.UserMessage(second))
+	stream := client.Chat.Completions.NewStreaming(ctx, params)
+	text := ""
+	for stream.Next() {
+		for _, c := range stream.Current().Choices {
+			text += c.Delta.Content
+		}
+	}
+	is.NoErr(stream.Err())
+	is.Equal(text, emulator.AnswerTo(second, 11))
+	v, err := b.client(0).Resume("order-7", 0).View(ctx, true)
+	is.NoErr(err)
+	is.Equal(len(v.Messages), 4) // Nothing is kept twice.
+}
+
+func TestStockClientReadsFaults(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1)
+	client := openai.NewClient(option.WithBaseURL(b.bases[0]+"/v1"), option.WithAPIKey("wrong"), option.WithMaxRetries(0))
+	_, err := client.Chat.Completions.New(context.Background(), openai.ChatCompletionNewParams{
+		Model: "chat", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hi")},
+	})
+	var e *openai.Error
+	is.True(asError(err, &e))
+	is.Equal(e.StatusCode, http.StatusUnauthorized)
+	is.Equal(e.Code, fmt.Sprint(int(classifier.BadKey)))
+}
+
+func asError(err error, into **openai.Error) bool {
+	e, ok := err.(*openai.Error)
+	*into = e
+	return ok
+}
+
+func TestAnotherAccountsProgramLooksAbsent(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1)
+	ctx := context.Background()
+	_, err := b.client(0).Create(ctx, caller.ProgramOptions{ID: "secret-lot", Budget: 100})
+	is.NoErr(err)
+	other := caller.New(caller.Options{Base: b.bases[0], Key: "another-key"})
+	_, theirs := other.Resume("secret-lot", 0).View(ctx, false)
+	_, absent := other.Resume("no-such-lot", 0).View(ctx, false)
+	is.Equal(classifier.From(theirs).Code, classifier.NoSuchProgram)
+	is.Equal(strings.ReplaceAll(theirs.Error(), "secret-lot", "x"), strings.ReplaceAll(absent.Error(), "no-such-lot", "x"))
+}
+
+func TestProgramThroughAnyDaemonAndPlannedStop(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 3)
+	ctx := context.Background()
+	_, err := b.client(0).Create(ctx, caller.ProgramOptions{ID: "lot-1", Budget: 50_000})
+	is.NoErr(err)
+	for i := range 6 {
+		p := b.client(i).Resume("lot-1", 2*i)
+		question := fmt.Sprintf("moisture of bale %d? tokens=5", i)
+		text, err := p.Ask(ctx, "chat", []caller.Message{{Role: "user", Content: question}}, 0, nil)
+		is.NoErr(err)
+		is.Equal(text, emulator.AnswerTo(question, 5))
+		_, err = p.Call(ctx, "ledger", []byte(fmt.Sprintf(`{"post":%d}`, i)))
+		is.NoErr(err)
+		// The same call again, through another daemon, brings the first outcome.
+		again, err := b.client(i+1).Resume("lot-1", 2*i+1).Call(ctx, "ledger", []byte(fmt.Sprintf(`{"post":%d}`, i)))
+		is.NoErr(err)
+		is.True(strings.Contains(string(again), fmt.Sprintf(`{\"post\":%d}`, i)))
+	}
+	for body, n := range b.tool.Effects() {
+		is.Equal(n, 1)
+		_ = body
+	}
+	is.NoErr(b.daemons[0].Stop(ctx))
+	v, err := b.client(1).Resume("lot-1", 12).View(ctx, true)
+	is.NoErr(err)
+	is.Equal(v.Calls, 12)
+	is.Equal(len(v.Messages), 12)
+}
+
+func TestSubAgentDrawsOnItsParentsBudget(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, 1)
+	ctx := context.Background()
+	p, err := b.client(0).Create(ctx, caller.ProgramOptions{ID: "quote", Budget: 300})
+	is.NoErr(err)
+	child, err := b.client(0).Create(ctx, caller.ProgramOptions{ID: "helper", Parent: "quote"})
+	is.NoErr(err)
+	_, err = child.Ask(ctx, "chat", []caller.Message{{Role: "user", Content: "palm fronds tokens=60"}}, 60, nil)
+	is.NoErr(err)
+	v, err := p.View(ctx, false)
+	is.NoErr(err)
+	is.True(v.Spent >= 60)
+	_, err = child.Ask(ctx, "chat", []caller.Message{{Role: "user", Content: strings.Repeat("x", 400)}}, 10, nil)
+	is.Equal(classifier.From(err).Code, classifier.BudgetExhausted)
+	is.Equal(classifier.From(err).Ran, classifier.RanNo)
+}
+
+func TestBadInput(t *testing.T) {
+	b := newBench(t, 1)
+	rows := []struct {
+		name, method, path, body string
+		header                   map[string]string
+		code                     classifier.Code
+	}{
+		{"no JSON", "POST", "/v1/chat/completions", "{", nil, classifier.BadRequest},
+		{"no model", "POST", "/v1/chat/completions", `{"messages":[{"role":"user"}]}`, nil, classifier.BadRequest},
+		{"no messages", "POST", "/v1/chat/completions", `{"model":"chat"}`, nil, classifier.BadRequest},
+		{"message without role", "POST", "/v1/chat/completions", `{"model":"chat","messages":[{"content":"x"}]}`, nil, classifier.BadRequest},
+		{"two answers", "POST", "/v1/chat/completions", `{"model":"chat","n":2,"messages":[{"role":"user"}]}`, nil, classifier.BadRequest},
+		{"unknown model", "POST", "/v1/chat/completions", `{"model":"none","messages":[{"role":"user"}]}`, nil, classifier.NoSuchTarget},
+		{"service as model", "POST", "/v1/chat/completions", `{"model":"ledger","messages":[{"role":"user"}]}`, nil, classifier.NoSuchTarget},
+		{"call number", "POST", "/v1/services/ledger", `{}`, map[string]string{"Pimentorail-Call": "-3"}, classifier.BadRequest},
+		{"deadline", "POST", "/v1/services/ledger", `{}`, map[string]string{"Pimentorail-Deadline-Ms": "soon"}, classifier.BadRequest},
+		{"long key", "POST", "/v1/services/ledger", `{}`, map[string]string{"Idempotency-Key": strings.Repeat("k", 300)}, classifier.BadRequest},
+		{"not repeatable without program", "POST", "/v1/services/ledger", `{}`, nil, classifier.BadRequest},
+		{"program id", "POST", "/v1/programs", `{"id":"../x","budget":5}`, nil, classifier.BadRequest},
+		{"no budget", "POST", "/v1/programs", `{"id":"x"}`, nil, classifier.BadRequest},
+		{"great budget", "POST", "/v1/programs", `{"id":"x","budget":100000000}`, nil, classifier.BadRequest},
+		{"absent parent", "POST", "/v1/programs", `{"id":"x","parent":"none"}`, nil, classifier.NoSuchProgram},
+		{"absent program", "GET", "/v1/programs/none", ``, nil, classifier.NoSuchProgram},
+		{"call that is no number", "GET", "/v1/programs/none/calls/x", ``, nil, classifier.BadRequest},
+		{"large body", "POST", "/v1/services/ledger", strings.Repeat("x", 5<<20), nil, classifier.TooLarge},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			req, err := http.NewRequest(row.method, b.bases[0]+row.path, strings.NewReader(row.body))
+			is.NoErr(err)
+			req.Header.Set("Authorization", "Bearer "+key)
+			for k, v := range row.header {
+				req.Header.Set(k, v)
+			}
+			resp, err := http.DefaultClient.Do(req)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			var f struct {
+				Error struct {
+					Code string         `json:"code"`
+					Ran  classifier.Ran `json:"ran"`
+				} `json:"error"`
+			}
+			is.NoErr(json.NewDecoder(resp.Body).Decode(&f))
+			is.Equal(f.Error.Code, fmt.Sprint(int(row.code)))
+			is.Equal(f.Error.Ran, classifier.RanNo)
+			is.Equal(resp.StatusCode, row.code.Status())
+		})
+	}
+	if n := len(b.tool.Effects()); n > 0 {
+		t.Fatalf("%d refused calls had an effect", n)
+	}
+}
+
+func TestPages(t *testing.T) {
+	b := newBench(t, 1)
+	is := is.New(t)
+	for page, want := range map[string]string{"/healthz": "ok", "/readyz": "ready", "/metrics": "pimentorail_"} {
+		resp, err := http.Get(b.bases[0] + page)
+		is.NoErr(err)
+		data, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		if page != "/metrics" {
+			is.True(strings.Contains(string(data), want))
+		}
+	}
+}
+
+func TestSettings(t *testing.T) {
+	good := `{"http-address":"127.0.0.1:1","rpc-address":"127.0.0.1:2","zone":"sohar","platform-address":"127.0.0.1:3","secret":"0123456789abcdef"}`
+	rows := []struct{ name, old, bad, path string }{
+		{"unknown key", `"zone"`, `"zoom":1,"zone"`, "/"},
+		{"address", `"127.0.0.1:1"`, `"localhost"`, "/http-address"},
+		{"short secret", `"0123456789abcdef"`, `"short"`, "/secret"},
+		{"missing zone", `"zone":"sohar",`, ``, "/"},
+		{"kind", `"zone":"sohar"`, `"zone":"sohar","partitions":"many"`, "/partitions"},
+		{"policy", `"zone":"sohar"`, `"zone":"sohar","policies":{"order":"random"}`, "/policies/order"},
+		{"no JSON", `{`, ``, "/"},
+	}
+	is := is.New(t)
+	s, err := runner.ParseSettings([]byte(good))
+	is.NoErr(err)
+	is.Equal(s.Partitions, 64)
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := runner.ParseSettings([]byte(strings.Replace(good, row.old, row.bad, 1)))
+			is.True(err != nil)
+			is.True(strings.HasPrefix(err.Error(), row.path+":"))
+		})
+	}
+}
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"gopkg.in/tomb.v2"
@@ -23,7 +24,8 @@
 }
 
 func newMetrics() *metrics {
-	r := prometheus.NewReporter(prometheus.Options{})
+	g := client.NewRegistry()
+	r := prometheus.NewReporter(prometheus.Options{Registerer: g, Gatherer: g})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "pimentorail", CachedReporter: r, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
--- a/internal/sequencer/finish.go
+++ b/internal/sequencer/finish.go
@@ -37,7 +37,13 @@
 	o.awaitCommit(ctx, record, r)
 }
 
-func (o *Owner) awaitCommit(ctx context.Context, record *journaler.Record, r *FinishReply) {
+// commitment is what a reply waits for: a record, or a settlement that has made
+// its turn visible.
+type commitment interface {
+	Wait(ctx context.Context) error
+}
+
+func (o *Owner) awaitCommit(ctx context.Context, record commitment, r *FinishReply) {
 	ctx, cancel := context.WithTimeout(ctx, commitWait)
 	defer cancel()
 	switch err := record.Wait(ctx); {
@@ -50,10 +56,10 @@
 }
 
 // settle decides on an outcome for a locked tree and returns the record to wait for.
-func (o *Owner) settle(ctx context.Context, f leaser.Fence, t *tree, p *program, q *FinishRequest) (*journaler.Record, *classifier.Fault) {
+func (o *Owner) settle(ctx context.Context, f leaser.Fence, t *tree, p *program, q *FinishRequest) (commitment, *classifier.Fault) {
 	k := q.Ticket
 	if turn, ok := p.turn(k.Number, ""); ok {
-		return o.resettle(f, p, turn, q)
+		return o.resettle(f, t, p, turn, q)
 	}
 	c := p.open
 	switch {
@@ -77,7 +83,7 @@
 }
 
 // resettle accepts a repeated outcome, and a known one in place of an unknown one.
-func (o *Owner) resettle(f leaser.Fence, p *program, turn *turnRow, q *FinishRequest) (*journaler.Record, *classifier.Fault) {
+func (o *Owner) resettle(f leaser.Fence, t *tree, p *program, turn *turnRow, q *FinishRequest) (commitment, *classifier.Fault) {
 	if turn.Attempt != q.Ticket.Attempt {
 		return nil, classifier.New(classifier.TicketExpired, q.Outcome.Ran, "another attempt of call %d is recorded", turn.Number)
 	}
@@ -95,8 +101,14 @@
 	if fault != nil {
 		return nil, fault.With(classifier.RanUnknown)
 	}
-	*turn = next
-	return record, nil
+	return o.await(&settlement{program: p, turn: next, record: record, corrects: true}, t), nil
+}
+
+// await lets a settlement run.
+func (o *Owner) await(s *settlement, t *tree) *settlement {
+	s.owner, s.tree, s.done = o, t, make(chan struct{})
+	o.tomb.Go(s.run)
+	return s
 }
 
 // release withdraws a call that did not run, or a model call that failed.
@@ -120,7 +132,7 @@
 }
 
 // record appends the turn of the open call and returns the record that commits it.
-func (o *Owner) record(ctx context.Context, f leaser.Fence, t *tree, p *program, out Outcome) (*journaler.Record, *classifier.Fault) {
+func (o *Owner) record(ctx context.Context, f leaser.Fence, t *tree, p *program, out Outcome) (commitment, *classifier.Fault) {
 	c := p.open
 	k := c.ticket
 	out.Number = k.Number
@@ -153,10 +165,8 @@
 		o.drop(p.name.Root(), t)
 		return nil, fault.With(classifier.RanUnknown)
 	}
-	c.settling = record
-	s := &settlement{owner: o, tree: t, program: p, turn: turn, record: record}
-	o.tomb.Go(s.run)
-	return record, nil
+	c.settling = o.await(&settlement{program: p, turn: turn, record: record}, t)
+	return c.settling, nil
 }
 
 // rows returns the writes of the program and of its root.
@@ -176,9 +186,23 @@
 	program *program
 	turn    turnRow
 	record  *journaler.Record
+	// corrects says that the turn replaces an unknown outcome.
+	corrects bool
+	done     chan struct{}
+}
+
+// Wait returns the result of the record once its turn is visible to readers.
+func (s *settlement) Wait(ctx context.Context) error {
+	select {
+	case <-s.done:
+		return s.record.Wait(ctx)
+	case <-ctx.Done():
+		return errors.Wrap(journaler.ErrDoubt, ctx.Err().Error())
+	}
 }
 
 func (s *settlement) run() error {
+	defer close(s.done)
 	select {
 	case <-s.record.Done():
 	case <-s.owner.tomb.Dying():
@@ -190,6 +214,10 @@
 		s.owner.drop(s.program.name.Root(), s.tree)
 		return nil
 	}
+	if s.corrects {
+		s.program.turns[s.turn.Number-1] = s.turn
+		return nil
+	}
 	s.program.remember(s.turn)
 	s.program.free()
 	return nil
--- a/internal/sequencer/program.go
+++ b/internal/sequencer/program.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"pimentorail.example/pimentorail/internal/journaler"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
@@ -16,7 +15,7 @@
 	repeatable bool
 	persisted  bool
 	expires    time.Time
-	settling   *journaler.Record
+	settling   *settlement
 }
 
 // program is a loaded program of a tree.
--- a/internal/trial/network_test.go
+++ b/internal/trial/network_test.go
@@ -24,6 +24,8 @@
 	frozen map[string]chan struct{}
 	dead   map[string]bool
 	nodes  map[string]*node
+	// onCall is told of each remote call before it leaves.
+	onCall func(from, method string)
 }
 
 func newNetwork() *network {
@@ -117,6 +119,9 @@
 
 // Call implements linker.Caller; arguments and replies are copied as gob does it.
 func (w *wire) Call(ctx context.Context, address, method string, args, reply any) error {
+	if w.network.onCall != nil {
+		w.network.onCall(w.from, method)
+	}
 	if err := w.network.pass(ctx, w.from, address); err != nil {
 		return errors.Wrap(linker.ErrUnreached, err.Error())
 	}
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -101,7 +101,8 @@
      "zones": [{"zone": "rustaq", "addresses": ["127.0.0.1:$(tool_port 2)"]}]}
   ],
   "crest": {"longest-wait-ms": ${WAIT_MS:-20000}, "longest-wait-of-new-programs-ms": ${NEW_WAIT_MS:-8000}},
-  "store-outage": "go-on"
+  "store-outage": "go-on",
+  "longest-answer-tokens": 20000
 }
 ANSWERS
 }
--- a/scripts/variant.sh
+++ b/scripts/variant.sh
@@ -21,7 +21,7 @@
 load) ;;
 calm) ;;
 stragglers) flags="--stragglers 0.05 --longer 50" ;;
-crest) programs=420 flags="--burst 6" ;;
+crest) programs=625 span=50s flags="--burst 6" ;;
 slow) ;;
 quarter) programs=30 ;;
 esac
