--- a/internal/trial/freeze_test.go
+++ b/internal/trial/freeze_test.go
@@ -31,31 +31,35 @@
 }
 
 // TestFreezeBetweenTheStepsOfACall freezes the entry right before a step, for
-// longer than ticket and lease live: its late work must neither run a call
-// after a later one nor count.
+// longer than its ticket or its lease lives: its late work must neither run a
+// call after a later one nor count.
 func TestFreezeBetweenTheStepsOfACall(t *testing.T) {
 	for _, method := range []string{"Sequencer.Begin", "Allocator.Acquire", "Sequencer.Finish", "Sequencer.Renew", "Limiter.Ask"} {
-		for _, nodes := range []int{2, 3, 4} {
-			t.Run(method, func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					w := newDeployment(declarations(), nodes)
-					time.Sleep(20 * time.Second)
-					f := &freezer{deployment: w, method: method, left: 1, span: 45 * time.Second}
-					w.network.onCall = f.see
-					ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
-					defer cancel()
-					c := &customer{deployment: w, account: "falaj", id: "order", budget: 5000, steps: []step{{Effect: true}, {Effect: true}, {}, {Effect: true}}}
-					c.run(ctx)
-					time.Sleep(2 * time.Minute)
-					if broken := w.judge([]*customer{c}); broken != "" {
-						t.Error(broken)
-					}
-					if len(c.told) < len(c.steps) {
-						t.Errorf("the program stopped after %d calls", len(c.told))
-					}
-					w.close()
+		for _, span := range []time.Duration{18 * time.Second, 22 * time.Second, 45 * time.Second} {
+			for _, id := range []string{"order-1", "order-2", "order-3", "order-4", "order-5", "order-6"} {
+				t.Run(method+" "+span.String()+" "+id, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { playFreeze(t, method, span, id) })
 				})
-			})
+			}
 		}
 	}
 }
+
+func playFreeze(t *testing.T, method string, span time.Duration, id string) {
+	w := newDeployment(declarations(), 4)
+	defer w.close()
+	time.Sleep(20 * time.Second)
+	f := &freezer{deployment: w, method: method, left: 1, span: span}
+	w.network.onCall = f.see
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
+	defer cancel()
+	c := &customer{deployment: w, account: "falaj", id: id, budget: 5000, steps: []step{{Effect: true}, {Effect: true}, {}, {Effect: true}}}
+	c.run(ctx)
+	time.Sleep(2 * time.Minute)
+	if broken := w.judge([]*customer{c}); broken != "" {
+		t.Error(broken)
+	}
+	if len(c.told) < len(c.steps) {
+		t.Errorf("the program stopped after %d calls", len(c.told))
+	}
+}
