--- /dev/null
+++ b/internal/configurer/configurer_test.go
@@ -0,0 +1,275 @@
+package configurer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+	"pgregory.net/rapid"
+
+	"pimentorail.example/pimentorail/internal/configurer"
+	"pimentorail.example/pimentorail/internal/declarer"
+	"pimentorail.example/pimentorail/internal/emulator"
+	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/pkg/classifier"
+)
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+func declare(weight int) *declarer.Declarations {
+	return &declarer.Declarations{
+		Accounts: []declarer.Account{{Name: "falaj", KeyHash: strings.Repeat("a", 64), Weight: weight, InFlight: 5, Targets: []string{}, ProgramBudget: 10}},
+		Policy:   declarer.Policy{StoreOutage: declarer.GoOn, QueueLimitMS: weight + 100},
+	}
+}
+
+// lossy loses the answers of commits as told.
+type lossy struct {
+	*emulator.Store
+	lose bool
+}
+
+// Commit implements storer.Table.
+func (l *lossy) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
+	v, err := l.Store.Commit(ctx, tx)
+	if l.lose && err == nil {
+		return 0, storer.ErrUnavailable
+	}
+	return v, err
+}
+
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	g := configurer.NewRegistry(emulator.NewStore())
+	base, err := g.Load(ctx)
+	is.NoErr(err)
+	v, err := g.Apply(ctx, base, declare(1), "salma", "")
+	is.NoErr(err)
+	is.Equal(v, uint64(1))
+	_, err = g.Apply(ctx, base, declare(2), "berto", "")
+	f := classifier.From(err)
+	is.Equal(f.Code, classifier.ConfigConflict)
+	is.True(strings.Contains(f.Message, "salma changed account/falaj, policy")) // Who won, and what changed.
+	now, err := g.Load(ctx)
+	is.NoErr(err)
+	v, err = g.Apply(ctx, now, declare(2), "berto", "")
+	is.NoErr(err)
+	is.Equal(v, uint64(2))
+}
+
+func TestLostAnswerOfTheSwap(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	l := &lossy{Store: emulator.NewStore(), lose: true}
+	g := configurer.NewRegistry(l)
+	base, err := g.Load(ctx)
+	is.NoErr(err)
+	v, err := g.Apply(ctx, base, declare(1), "salma", "")
+	is.NoErr(err)
+	is.Equal(v, uint64(1))
+	changes, err := g.Changes(ctx, 0, 10)
+	is.NoErr(err)
+	is.Equal(len(changes), 1) // Accepted once.
+}
+
+func TestReturnToEarlierVersion(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	g := configurer.NewRegistry(emulator.NewStore())
+	for w := 1; w <= 4; w++ {
+		s, err := g.Load(ctx)
+		is.NoErr(err)
+		_, err = g.Apply(ctx, s, declare(w), "salma", "")
+		is.NoErr(err)
+	}
+	d, err := g.At(ctx, 2)
+	is.NoErr(err)
+	is.Equal(d.Accounts[0].Weight, 2)
+	_, err = g.At(ctx, 9)
+	is.True(err != nil)
+}
+
+func TestSecretsAreMasked(t *testing.T) {
+	is := is.New(t)
+	edits, err := configurer.Diff(configurer.NewWatcher(nil, nil, nil).Snapshot(), declare(1))
+	is.NoErr(err)
+	for _, e := range edits {
+		is.True(!strings.Contains(string(e.Mask().To), strings.Repeat("a", 64)))
+	}
+}
+
+func TestWarnings(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	g := configurer.NewRegistry(emulator.NewStore())
+	d := declare(1)
+	d.Targets = []declarer.Target{{Name: "chat", Kind: declarer.Engine, Replicas: []declarer.Replica{{Name: "a"}, {Name: "b"}}}}
+	s, err := g.Load(ctx)
+	is.NoErr(err)
+	_, err = g.Apply(ctx, s, d, "salma", "")
+	is.NoErr(err)
+	s, err = g.Load(ctx)
+	is.NoErr(err)
+	next := declare(1)
+	next.Accounts[0].ProgramBudget = 5
+	next.Targets = []declarer.Target{{Name: "chat", Kind: declarer.Engine, Replicas: []declarer.Replica{{Name: "a"}}}}
+	edits, err := configurer.Diff(s, next)
+	is.NoErr(err)
+	text := strings.Join(configurer.Warnings(edits), "\n")
+	is.True(strings.Contains(text, "chat/b is removed without a drain"))
+	is.True(strings.Contains(text, "falls from 10 to 5"))
+}
+
+// friends are the watchers that a watcher may ask.
+type friends struct {
+	list []*configurer.Watcher
+	cut  bool
+}
+
+// Since implements configurer.Peers.
+func (f *friends) Since(_ context.Context, version uint64) (configurer.SinceReply, error) {
+	for _, w := range f.list {
+		var r configurer.SinceReply
+		_ = configurer.NewService(w).Since(&configurer.SinceRequest{Version: version}, &r)
+		if r.Confirmed && !f.cut {
+			return r, nil
+		}
+	}
+	return configurer.SinceReply{}, errors.New("no peer")
+}
+
+// TestInForceAndNeverBack applies changes while daemons lose the store, their
+// peers or both, and looks at the versions in force all the time.
+func TestInForceAndNeverBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.SampledFrom([]string{"apply", "apply", "wait", "wait", "down-0", "down-1", "down-2", "up", "cut", "join", "lose"}), 1, 25).Draw(rt, "steps")
+		broken := ""
+		synctest.Test(t, func(*testing.T) { broken = playVersions(steps) })
+		if broken != "" {
+			rt.Fatal(broken)
+		}
+	})
+}
+
+// gate is the store as one daemon reaches it.
+type gate struct {
+	*lossy
+	down bool
+}
+
+// Get implements storer.Table.
+func (g *gate) Get(ctx context.Context, key string) (storer.Row, error) {
+	if g.down {
+		return storer.Row{}, storer.ErrUnavailable
+	}
+	return g.lossy.Get(ctx, key)
+}
+
+func playVersions(steps []string) string {
+	s := &lossy{Store: emulator.NewStore()}
+	operator := configurer.NewRegistry(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &friends{}
+	var gates []*gate
+	var seen []uint64
+	join := func() {
+		g := &gate{lossy: s}
+		w := configurer.NewWatcher(configurer.NewRegistry(g), f, nil)
+		gates, seen = append(gates, g), append(seen, 0)
+		f.list = append(f.list, w)
+		w.Start(ctx)
+	}
+	for range 3 {
+		join()
+	}
+	defer func() {
+		cancel()
+		for _, w := range f.list {
+			_ = w.Wait()
+		}
+	}()
+	accepted := uint64(0)
+	for i, step := range steps {
+		switch step {
+		case "apply":
+			base, err := operator.Load(ctx)
+			if err == nil {
+				accepted, err = operator.Apply(ctx, base, declare(i+1), "salma", "")
+			}
+			if err != nil {
+				return err.Error()
+			}
+		case "wait":
+			time.Sleep(5 * time.Second)
+		case "down-0", "down-1", "down-2":
+			gates[step[5]-'0'].down = true
+		case "up":
+			f.cut, s.lose = false, false
+			for _, g := range gates {
+				g.down = false
+			}
+		case "cut":
+			f.cut = true
+		case "lose":
+			s.lose = true
+		case "join":
+			join()
+		}
+		for k, w := range f.list {
+			v := w.Snapshot().Version()
+			if v < seen[k] {
+				return fmt.Sprintf("daemon %d went back from version %d to %d", k, seen[k], v)
+			}
+			seen[k] = v
+			reached := !gates[k].down
+			if step == "wait" && reached && v != accepted {
+				return fmt.Sprintf("daemon %d has version %d in force, %d is accepted for 5 s", k, v, accepted)
+			}
+			if step == "wait" && w.Sure() && v != accepted {
+				return fmt.Sprintf("daemon %d is sure of version %d, %d is accepted for 5 s", k, v, accepted)
+			}
+		}
+	}
+	return ""
+}
+
+func BenchmarkOneChangeInManyAccounts(b *testing.B) {
+	ctx := context.Background()
+	g := configurer.NewRegistry(emulator.NewStore())
+	d := &declarer.Declarations{Policy: declarer.Policy{StoreOutage: declarer.GoOn}}
+	for i := range 40_000 {
+		d.Accounts = append(d.Accounts, declarer.Account{Name: fmt.Sprintf("account-%05d", i), KeyHash: fmt.Sprintf("%064x", i), Weight: 1, InFlight: 10, Targets: []string{"chat"}, ProgramBudget: 1})
+	}
+	s, err := g.Load(ctx)
+	if err == nil {
+		_, err = g.Apply(ctx, s, d, "salma", "")
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	w := configurer.NewWatcher(g, nil, nil)
+	w.Tick(ctx)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		b.StopTimer()
+		d.Accounts[i%40_000].Weight++
+		if _, err := g.Apply(ctx, w.Snapshot(), d, "salma", ""); err != nil {
+			b.Fatal(err)
+		}
+		b.StartTimer()
+		w.Tick(ctx)
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,202 @@
+package dispatcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/dispatcher"
+	"pimentorail.example/pimentorail/internal/emulator"
+	"pimentorail.example/pimentorail/pkg/classifier"
+)
+
+const question = "price of a roof? tokens=40"
+
+func ask(id string) dispatcher.ModelRequest {
+	m, _ := json.Marshal(map[string]string{"role": "user", "content": question})
+	return dispatcher.ModelRequest{ID: id, Model: "chat", Messages: []json.RawMessage{m}, MaxTokens: 100}
+}
+
+func newEngine(t *testing.T) (*emulator.Engine, string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	e := emulator.NewEngine(ctx, emulator.EngineOptions{Gap: 100 * time.Microsecond})
+	s := httptest.NewServer(e.Handler())
+	t.Cleanup(func() {
+		s.Close()
+		cancel()
+		_ = e.Wait()
+	})
+	return e, strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestStreamIsResumedAfterEachCut(t *testing.T) {
+	for cut := 5; cut < 45; cut += 4 {
+		is := is.New(t)
+		e, address := newEngine(t)
+		e.SetFaults(emulator.EngineFaults{CutAfter: cut})
+		got := ""
+		r, err := dispatcher.New().Model(context.Background(), address, ask("s"), func(s string) { got += s })
+		is.NoErr(err)
+		is.Equal(r.Text, emulator.AnswerTo(question, 40))
+		is.Equal(got, r.Text)
+		is.Equal(e.Counts().Requests, 1) // Resumed, not computed again.
+	}
+}
+
+func TestStreamThatCannotBeResumedIsAnError(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			http.Error(w, "no such stream", http.StatusNotFound)
+			return
+		}
+		_, _ = w.Write([]byte(`data: {"id":"s","number":0,"content":"x"}` + "\n\n"))
+	}))
+	t.Cleanup(s.Close)
+	r, err := dispatcher.New().Model(context.Background(), strings.TrimPrefix(s.URL, "http://"), ask("s"), nil)
+	var f *dispatcher.Error
+	is.True(errors.As(err, &f))
+	is.Equal(f.Ran, classifier.RanUnknown)
+	is.Equal(r.Completion, 1)
+}
+
+func TestEngineThatRefusesOrIsAway(t *testing.T) {
+	is := is.New(t)
+	e, address := newEngine(t)
+	e.SetFaults(emulator.EngineFaults{Refuse: true})
+	_, err := dispatcher.New().Model(context.Background(), address, ask("s"), nil)
+	var f *dispatcher.Error
+	is.True(errors.As(err, &f))
+	is.Equal(f.Code, classifier.TargetRefused)
+	is.Equal(f.Ran, classifier.RanNo)
+	_, err = dispatcher.New().Model(context.Background(), closedPort(t), ask("s"), nil)
+	is.True(errors.As(err, &f))
+	is.Equal(f.Code, classifier.TargetAway)
+	is.Equal(f.Ran, classifier.RanNo)
+}
+
+func closedPort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// script answers each request with the next of a list of bodies.
+func script(t *testing.T, bodies ...string) string {
+	t.Helper()
+	n := 0
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete || n >= len(bodies) {
+			return
+		}
+		_, _ = w.Write([]byte(bodies[n]))
+		n++
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+const end = `data: {"id":"s","number":1,"finish_reason":"stop","usage":{"prompt_tokens":3}}` + "\n\n"
+
+func TestMalformedStreams(t *testing.T) {
+	rows := []struct{ name, body string }{
+		{"another's stream", `data: {"id":"other","number":0,"content":"x"}` + "\n\n" + end},
+		{"a gap", `data: {"id":"s","number":1,"content":"x"}` + "\n\n" + end},
+		{"a repeat", `data: {"id":"s","number":0,"content":"x"}` + "\n\n" + `data: {"id":"s","number":0,"content":"x"}` + "\n\n"},
+		{"no end marker", `data: {"id":"s","number":0,"content":"x"}` + "\n\n"},
+		{"no usage", `data: {"id":"s","number":0,"finish_reason":"stop"}` + "\n\n"},
+		{"no JSON", "data: {\n\n"},
+		{"nothing", ""},
+		{"cancelled", `data: {"id":"s","number":0,"finish_reason":"cancelled","usage":{}}` + "\n\n"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := dispatcher.New().Model(context.Background(), script(t, row.body), ask("s"), nil)
+			var f *dispatcher.Error
+			is.True(errors.As(err, &f)) // Never a short answer.
+			is.Equal(f.Ran, classifier.RanUnknown)
+		})
+	}
+}
+
+func TestOvershootIsCut(t *testing.T) {
+	is := is.New(t)
+	body := ""
+	for _, n := range []string{"0", "1", "2", "3"} {
+		body += `data: {"id":"s","number":` + n + `,"content":"x"}` + "\n\n"
+	}
+	q := ask("s")
+	q.MaxTokens = 2
+	r, err := dispatcher.New().Model(context.Background(), script(t, body), q, nil)
+	is.NoErr(err)
+	is.Equal(r.Text, "xx")
+	is.Equal(r.Finish, "length")
+}
+
+func TestServiceFaults(t *testing.T) {
+	tool := emulator.NewTool(0)
+	s := httptest.NewServer(tool.Handler())
+	t.Cleanup(s.Close)
+	address := strings.TrimPrefix(s.URL, "http://")
+	rows := []struct {
+		name     string
+		faults   emulator.ToolFaults
+		statuses []int
+		address  string
+		effects  int
+		ran      classifier.Ran
+	}{
+		{"answered", emulator.ToolFaults{}, nil, address, 1, ""},
+		{"answer lost", emulator.ToolFaults{LoseEvery: 1}, nil, address, 1, classifier.RanUnknown},
+		{"hangs after the effect", emulator.ToolFaults{Hang: true}, nil, address, 1, classifier.RanUnknown},
+		{"refuses with a declared status", emulator.ToolFaults{Refuse: true}, []int{503}, address, 0, classifier.RanNo},
+		{"refuses with a status that says nothing", emulator.ToolFaults{Refuse: true}, nil, address, 0, ""},
+		{"not reached", emulator.ToolFaults{}, nil, "", 0, classifier.RanNo},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			tool.SetFaults(row.faults)
+			if row.address == "" {
+				row.address = closedPort(t)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			_, err := dispatcher.New().Service(ctx, row.address, dispatcher.ServiceRequest{ID: "x", Body: []byte(row.name), NotRunStatuses: row.statuses})
+			var f *dispatcher.Error
+			is.Equal(errors.As(err, &f), row.ran != "")
+			if f != nil {
+				is.Equal(f.Ran, row.ran)
+			}
+			is.Equal(tool.Effects()[row.name], row.effects)
+		})
+	}
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add(`data: {"id":"s","number":0,"content":"x"}` + "\n\n" + end)
+	f.Add("data: [DONE]\n\n")
+	f.Add("data: {}\n\ndata: {}\n\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(body)) }))
+		defer s.Close()
+		r, err := dispatcher.New().Model(context.Background(), strings.TrimPrefix(s.URL, "http://"), ask("s"), nil)
+		if err == nil && !strings.Contains(body, "finish_reason") {
+			t.Fatalf("answer %q without an end marker", r.Text)
+		}
+	})
+}
--- a/internal/emulator/engineserver.go
+++ b/internal/emulator/engineserver.go
@@ -60,6 +60,7 @@
 		chunks, more := e.chunks(s, from)
 		for _, c := range chunks {
 			if e.cut(sent) {
+				flusher.Flush()
 				panic(http.ErrAbortHandler)
 			}
 			data, _ := json.Marshal(c)
