--- a/internal/conductor/gone.go
+++ b/internal/conductor/gone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"pimentorail.example/pimentorail/internal/sequencer"
 )
@@ -9,6 +10,7 @@
 // Gone asks the program owners which of the programs need no engine memory any more.
 func (c *Conductor) Gone(ctx context.Context, programs []string) []string {
 	byPartition := map[int][]string{}
+	idle := time.Duration(c.o.Config.Snapshot().Policy().HoldIdleMS) * time.Millisecond
 	var gone []string
 	for _, s := range programs {
 		n, ok := sequencer.ParseName(s)
@@ -21,7 +23,7 @@
 	}
 	for p, names := range byPartition {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		r, f := ask(ctx, c.owners, p, sequencer.ServiceName+".Gone", &sequencer.GoneRequest{Names: names},
+		r, f := ask(ctx, c.owners, p, sequencer.ServiceName+".Gone", &sequencer.GoneRequest{Names: names, Idle: idle},
 			func(*sequencer.GoneReply) bool { return false })
 		cancel()
 		if f == nil {
--- a/internal/declarer/declarations.go
+++ b/internal/declarer/declarations.go
@@ -67,6 +67,10 @@
 	Zone    string `json:"zone"`
 	// Draining replicas take no new work.
 	Draining bool `json:"draining,omitempty"`
+	// Role is the role that an engine should take, empty for its own.
+	Role string `json:"role,omitempty"`
+	// Loads are the models, adapters and versions that an engine should have loaded.
+	Loads []string `json:"loads,omitempty"`
 }
 
 // Policy holds the limits that are common to all accounts.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -61,6 +61,7 @@
 	held    map[string]int
 	fence   uint64
 	orders  []Order
+	state   EngineState
 	counts  EngineCounts
 	report  Load
 	next    Load
@@ -95,7 +96,7 @@
 	o.CacheTokens = cmp.Or(o.CacheTokens, 100_000)
 	e := &Engine{
 		o: o, streams: map[string]*stream{}, held: map[string]int{},
-		cache: newPrefixCache(o.CacheTokens),
+		cache: newPrefixCache(o.CacheTokens), state: EngineState{Role: "mixed"},
 	}
 	e.tomb, _ = tomb.WithContext(ctx)
 	e.tomb.Go(e.run)
--- a/internal/emulator/engineserver.go
+++ b/internal/emulator/engineserver.go
@@ -21,6 +21,7 @@
 	m.HandleFunc(pat.Delete("/v1/held/:program"), e.serveRelease)
 	m.HandleFunc(pat.Get("/v1/events"), e.serveEvents)
 	m.HandleFunc(pat.Post("/v1/orders"), e.serveOrder)
+	m.HandleFunc(pat.Get("/v1/state"), e.serveState)
 	m.HandleFunc(pat.Post("/fault"), e.serveFault)
 	m.HandleFunc(pat.Get("/counts"), e.serveCounts)
 	return m
@@ -129,6 +130,8 @@
 	}
 }
 
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) { answer(w, e.State(), nil) }
+
 func (e *Engine) serveFault(w http.ResponseWriter, r *http.Request) {
 	var f EngineFaults
 	if readJSON(w, r, &f) {
--- a/internal/generator/answers.go
+++ b/internal/generator/answers.go
@@ -36,14 +36,18 @@
 	AnswersWithin  int    `json:"answers-within-ms,omitempty"`
 	NotRunStatuses []int  `json:"not-run-statuses,omitempty"`
 	RefusesOld     string `json:"refuses-old-orders,omitempty"`
-	InFlight       int    `json:"calls-at-once,omitempty"`
-	MostInFlight   int    `json:"most-calls-at-once,omitempty"`
-	Zones          []Zone `json:"zones"`
+	// Loads are the models, adapters and versions that the engines should have loaded.
+	Loads        []string `json:"loads,omitempty"`
+	InFlight     int      `json:"calls-at-once,omitempty"`
+	MostInFlight int      `json:"most-calls-at-once,omitempty"`
+	Zones        []Zone   `json:"zones"`
 }
 
 // Zone is where some replicas of a target run.
 type Zone struct {
-	Zone      string   `json:"zone"`
+	Zone string `json:"zone"`
+	// Role is the role of the engines there, empty for their own.
+	Role      string   `json:"role,omitempty"`
 	Addresses []string `json:"addresses"`
 }
 
--- a/internal/generator/generator.go
+++ b/internal/generator/generator.go
@@ -133,7 +133,9 @@
 	}
 	for _, z := range t.Zones {
 		for i, address := range z.Addresses {
-			out.Replicas = append(out.Replicas, declarer.Replica{Name: fmt.Sprintf("%s-%d", z.Zone, i+1), Address: address, Zone: z.Zone})
+			out.Replicas = append(out.Replicas, declarer.Replica{
+				Name: fmt.Sprintf("%s-%d", z.Zone, i+1), Address: address, Zone: z.Zone, Role: z.Role, Loads: t.Loads,
+			})
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,108 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pimentorail.example/pimentorail/internal/router"
+	"pimentorail.example/pimentorail/internal/seeder"
+)
+
+func TestMain(m *testing.M) {
+	seeder.Prepare()
+	os.Exit(m.Run())
+}
+
+func TestShortlistHasNoRepeats(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(rt, "replicas")
+		replicas := make([]string, n)
+		for i := range replicas {
+			replicas[i] = fmt.Sprint("r", i)
+		}
+		last := fmt.Sprint("r", rapid.IntRange(0, 25).Draw(rt, "last"))
+		size := rapid.IntRange(1, 5).Draw(rt, "size")
+		p := rapid.SampledFrom([]router.Policy{router.Affine, router.Spread}).Draw(rt, "policy")
+		list := router.Shortlist(replicas, last, "prefix", size, p, rand.New(rand.NewPCG(1, 2)))
+		sorted := slices.Compact(slices.Sorted(slices.Values(list)))
+		if len(sorted) != len(list) || len(list) < min(size, n) || (len(list) > size && size > 1) {
+			rt.Fatalf("%v of %d", list, n)
+		}
+		if p == router.Affine && slices.Contains(replicas, last) && list[0] != last {
+			rt.Fatalf("the last replica is not first: %v", list)
+		}
+	})
+}
+
+// TestChoiceDependsOnNoOrder shuffles the candidates.
+func TestChoiceDependsOnNoOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(rt, "n")
+		list := make([]router.Candidate, n)
+		for i := range list {
+			list[i] = router.Candidate{
+				Replica: fmt.Sprint("r", i), Wait: time.Duration(rapid.IntRange(0, 3).Draw(rt, "wait")) * time.Second,
+				Gap: time.Duration(rapid.IntRange(0, 3).Draw(rt, "gap")) * 10 * time.Millisecond, Cached: rapid.IntRange(0, 2).Draw(rt, "cached") * 1000,
+				Beside: rapid.IntRange(0, 8).Draw(rt, "beside"),
+			}
+		}
+		p := router.Prompt{Tokens: 2000, Answer: 50}
+		want := router.Choose(list, p)
+		r := rand.New(rand.NewPCG(3, 4))
+		r.Shuffle(n, func(i, j int) { list[i], list[j] = list[j], list[i] })
+		if got := router.Choose(list, p); !slices.Equal(got, want) {
+			rt.Fatalf("%v\n%v", got, want)
+		}
+	})
+}
+
+func TestCachedPrefixAgainstWait(t *testing.T) {
+	is := is.New(t)
+	home := router.Candidate{Replica: "home", Cached: 10_000, Prefill: 200 * time.Microsecond, Gap: 10 * time.Millisecond}
+	away := router.Candidate{Replica: "away", Prefill: 200 * time.Microsecond, Gap: 10 * time.Millisecond}
+	p := router.Prompt{Tokens: 10_000, Answer: 50}
+	is.Equal(router.Choose([]router.Candidate{away, home}, p)[0].Replica, "home")
+	home.Wait = time.Second // A wait shorter than the prefill of 2 s is worth it.
+	is.Equal(router.Choose([]router.Candidate{away, home}, p)[0].Replica, "home")
+	home.Wait = 3 * time.Second
+	is.Equal(router.Choose([]router.Candidate{away, home}, p)[0].Replica, "away")
+}
+
+func TestSlowReplicaIsAvoidedAndProbedAgain(t *testing.T) {
+	is := is.New(t)
+	slow := router.Candidate{Replica: "a", Gap: 50 * time.Millisecond}
+	fast := router.Candidate{Replica: "b", Gap: 10 * time.Millisecond}
+	p := router.Prompt{Tokens: 100, Answer: 50}
+	is.Equal(router.Choose([]router.Candidate{slow, fast}, p)[0].Replica, "b")
+	slow.Stale = true // An old pace counts as the peers' pace, so it gets calls again.
+	fast.Beside = 5
+	is.Equal(router.Choose([]router.Candidate{slow, fast}, p)[0].Replica, "a")
+}
+
+func BenchmarkChoice(b *testing.B) {
+	for _, replicas := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			names := make([]string, replicas)
+			for i := range names {
+				names[i] = fmt.Sprint("chat/replica-", i)
+			}
+			r := rand.New(rand.NewPCG(1, 2))
+			b.ReportAllocs()
+			for b.Loop() {
+				list := router.Shortlist(names, names[replicas/2], "prefix", 3, router.Affine, r)
+				candidates := make([]router.Candidate, len(list))
+				for i, n := range list {
+					candidates[i] = router.Candidate{Replica: n, Gap: 10 * time.Millisecond}
+				}
+				router.Choose(candidates, router.Prompt{Tokens: 1000, Answer: 50})
+			}
+		})
+	}
+}
--- a/internal/runner/daemon.go
+++ b/internal/runner/daemon.go
@@ -15,7 +15,7 @@
 	"pimentorail.example/pimentorail/internal/allocator"
 	"pimentorail.example/pimentorail/internal/conductor"
 	"pimentorail.example/pimentorail/internal/configurer"
-	"pimentorail.example/pimentorail/internal/declarer"
+	"pimentorail.example/pimentorail/internal/controller"
 	"pimentorail.example/pimentorail/internal/dispatcher"
 	"pimentorail.example/pimentorail/internal/journaler"
 	"pimentorail.example/pimentorail/internal/leaser"
@@ -64,6 +64,7 @@
 	conductor  *conductor.Conductor
 	listener   *listener.Listener
 	reaper     *reaper.Reaper
+	controller *controller.Controller
 	metrics    *metrics
 	http       *http.Server
 	cancel     context.CancelFunc
@@ -114,6 +115,7 @@
 		Conductor: d.conductor, Config: d.watcher, Scope: d.metrics.scope, Ready: d.ready, Metrics: d.metrics.handler(),
 	})
 	d.reaper = reaper.New(reaper.Options{Engines: d.dispatcher, Addresses: d.ownedEngines, Gone: d.conductor.Gone})
+	d.controller = controller.New(controller.Options{Engines: d.dispatcher, Owned: d.declaredEngines, Owns: d.ownsEngine})
 	d.http = &http.Server{Handler: d.listener.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 }
 
@@ -125,7 +127,7 @@
 }
 
 func (d *Daemon) parts() []part {
-	return []part{d.watcher, d.lister, d.journal, d.programs, d.replicas, d.slices, d.conductor, d.leaser, d.reaper}
+	return []part{d.watcher, d.lister, d.journal, d.programs, d.replicas, d.slices, d.conductor, d.leaser, d.reaper, d.controller}
 }
 
 // Start listens and runs until Stop or until the context ends.
@@ -232,54 +234,3 @@
 	}
 	return nil
 }
-
-// peers returns the addresses of other daemons in random order.
-func (d *Daemon) peers() []string {
-	var addresses []string
-	for _, m := range d.leaser.Members() {
-		if m.Session != d.leaser.Session() {
-			addresses = append(addresses, m.Address)
-		}
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses
-}
-
-// ready returns why the balancer should open no connections here.
-func (d *Daemon) ready() error {
-	if d.watcher.Snapshot().Version() == 0 {
-		return errors.New("no declarations are in force")
-	}
-	if d.leaser.Synced() > staleMap && !d.watcher.Sure() {
-		return errors.New("neither store nor peers confirm the declarations")
-	}
-	return nil
-}
-
-// leaving reports whether a replica takes no new work.
-func (d *Daemon) leaving(id string) bool {
-	_, r, ok := d.watcher.Snapshot().Replica(id)
-	return !ok || r.Draining || d.lister.Leaving(r.Address)
-}
-
-// ownedEngines returns the addresses of the engine replicas of owned partitions.
-func (d *Daemon) ownedEngines() []string {
-	var addresses []string
-	s := d.watcher.Snapshot()
-	for _, id := range s.Replicas() {
-		t, r, ok := s.Replica(id)
-		if ok && t.Kind == declarer.Engine && d.leaser.Keeps(allocator.PartitionOf(id, d.leaser.Partitions())) {
-			addresses = append(addresses, r.Address)
-		}
-	}
-	return addresses
-}
-
-// catalog joins the declared limits of replicas with their state.
-type catalog struct {
-	*configurer.Watcher
-	leaving func(id string) bool
-}
-
-// Leaving implements allocator.Catalog.
-func (c *catalog) Leaving(id string) bool { return c.leaving(id) }
--- /dev/null
+++ b/internal/runner/lookup.go
@@ -0,0 +1,89 @@
+package runner
+
+import (
+	"math/rand/v2"
+
+	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/allocator"
+	"pimentorail.example/pimentorail/internal/configurer"
+	"pimentorail.example/pimentorail/internal/controller"
+	"pimentorail.example/pimentorail/internal/declarer"
+)
+
+// peers returns the addresses of other daemons in random order.
+func (d *Daemon) peers() []string {
+	var addresses []string
+	for _, m := range d.leaser.Members() {
+		if m.Session != d.leaser.Session() {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// ready returns why the balancer should open no connections here.
+func (d *Daemon) ready() error {
+	if d.watcher.Snapshot().Version() == 0 {
+		return errors.New("no declarations are in force")
+	}
+	if d.leaser.Synced() > staleMap && !d.watcher.Sure() {
+		return errors.New("neither store nor peers confirm the declarations")
+	}
+	return nil
+}
+
+// leaving reports whether a replica takes no new work.
+func (d *Daemon) leaving(id string) bool {
+	_, r, ok := d.watcher.Snapshot().Replica(id)
+	return !ok || r.Draining || d.lister.Leaving(r.Address)
+}
+
+// ownedEngines returns the addresses of the engine replicas of owned partitions.
+func (d *Daemon) ownedEngines() []string {
+	var addresses []string
+	s := d.watcher.Snapshot()
+	for _, id := range s.Replicas() {
+		t, r, ok := s.Replica(id)
+		if ok && t.Kind == declarer.Engine && d.leaser.Keeps(allocator.PartitionOf(id, d.leaser.Partitions())) {
+			addresses = append(addresses, r.Address)
+		}
+	}
+	return addresses
+}
+
+// catalog joins the declared limits of replicas with their state.
+type catalog struct {
+	*configurer.Watcher
+	leaving func(id string) bool
+}
+
+// Leaving implements allocator.Catalog.
+func (c *catalog) Leaving(id string) bool { return c.leaving(id) }
+
+// declaredEngines returns the owned engine replicas that have a declared state.
+func (d *Daemon) declaredEngines() []controller.Engine {
+	var list []controller.Engine
+	s := d.watcher.Snapshot()
+	for _, id := range s.Replicas() {
+		t, r, ok := s.Replica(id)
+		if !ok || t.Kind != declarer.Engine || (r.Role == "" && len(r.Loads) == 0) {
+			continue
+		}
+		f, owned := d.leaser.Owns(allocator.PartitionOf(id, d.leaser.Partitions()))
+		if owned {
+			list = append(list, controller.Engine{
+				Replica: id, Address: r.Address, Fence: f.Version, HonoursFence: t.HonoursFence,
+				Want: controller.State{Role: r.Role, Loads: r.Loads},
+			})
+		}
+	}
+	return list
+}
+
+// ownsEngine reports whether the fence of an engine still holds.
+func (d *Daemon) ownsEngine(e controller.Engine) bool {
+	f, ok := d.leaser.Owns(allocator.PartitionOf(e.Replica, d.leaser.Partitions()))
+	return ok && f.Version == e.Fence
+}
--- a/internal/sequencer/admin.go
+++ b/internal/sequencer/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"pimentorail.example/pimentorail/internal/leaser"
 	"pimentorail.example/pimentorail/internal/storer"
@@ -148,7 +149,7 @@
 	r.Outcome = turn.Outcome
 }
 
-// Gone returns the programs that have ended or do not exist.
+// Gone returns the programs that have ended, do not exist or have paused for too long.
 func (o *Owner) Gone(ctx context.Context, q *GoneRequest, r *GoneReply) {
 	for _, s := range q.Names {
 		n, ok := ParseName(s)
@@ -166,7 +167,9 @@
 			}
 			continue
 		}
-		if p.open == nil && (p.row.State == stateEnded || t.root.row.State == stateEnded) {
+		ended := p.row.State == stateEnded || t.root.row.State == stateEnded
+		idle := q.Idle > 0 && time.Since(p.called) > q.Idle
+		if p.open == nil && (ended || idle) {
 			r.Gone = append(r.Gone, s)
 		}
 		t.release()
--- a/internal/sequencer/program.go
+++ b/internal/sequencer/program.go
@@ -28,10 +28,12 @@
 	open    *call
 	waiting int
 	wake    chan struct{}
+	// called is when the last call ended, or when the program was loaded.
+	called time.Time
 }
 
 func newProgram(n Name, r programRow) *program {
-	return &program{name: n, row: r, wake: make(chan struct{})}
+	return &program{name: n, row: r, wake: make(chan struct{}), called: time.Now()}
 }
 
 // remember adds a committed turn to the history.
@@ -47,6 +49,7 @@
 // free ends the call under way and lets the next one try.
 func (p *program) free() {
 	p.open = nil
+	p.called = time.Now()
 	close(p.wake)
 	p.wake = make(chan struct{})
 }
--- a/internal/sequencer/sequencer_test.go
+++ b/internal/sequencer/sequencer_test.go
@@ -263,6 +263,28 @@
 	})
 }
 
+func TestGonePrograms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := take(emulator.NewStore())
+		is.Equal(d.create(1000), nil)
+		gone := func() int {
+			var r sequencer.GoneReply
+			d.Gone(context.Background(), &sequencer.GoneRequest{Names: []string{lot.String(), "kamalig~none", "no name"}, Idle: 30 * time.Second}, &r)
+			return len(r.Gone)
+		}
+		is.Equal(gone(), 2) // The malformed and the absent one.
+		time.Sleep(20 * time.Second)
+		b := d.ask(1, "a", "question", 10)
+		is.Equal(d.finish(b.Ticket, done("answer", 2, 1)).Fault, nil)
+		time.Sleep(20 * time.Second)
+		is.Equal(gone(), 2)
+		time.Sleep(20 * time.Second)
+		is.Equal(gone(), 3) // It has paused for too long.
+		d.close()
+	})
+}
+
 // TestBudgetAgainstOracle begins, finishes, breaks and loses model calls over
 // takeovers, and compares what was granted and may have been used with the budget.
 func TestBudgetAgainstOracle(t *testing.T) {
@@ -327,3 +349,56 @@
 	}
 	return ""
 }
+
+func BenchmarkCallOfAProgram(b *testing.B) {
+	s := emulator.NewStore()
+	d := take(s)
+	defer d.close()
+	if f := d.create(1_000_000_000); f != nil {
+		b.Fatal(f)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if i%400 == 0 {
+			lot = sequencer.Name{Account: "kamalig", ID: fmt.Sprint("lot-", i)}
+			if f := d.create(1_000_000); f != nil {
+				b.Fatal(f)
+			}
+		}
+		r := d.ask(0, fmt.Sprint(i), "question", 10)
+		if f := d.finish(r.Ticket, done("answer", 2, 1)); f.Fault != nil {
+			b.Fatal(f.Fault)
+		}
+	}
+}
+
+func BenchmarkTakeoverOfPrograms(b *testing.B) {
+	for _, programs := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("programs=%d", programs), func(b *testing.B) {
+			s := emulator.NewStore()
+			d := take(s)
+			for i := range programs {
+				lot = sequencer.Name{Account: "kamalig", ID: fmt.Sprint("lot-", i)}
+				if f := d.create(100_000); f != nil {
+					b.Fatal(f)
+				}
+				for n := range 5 {
+					r := d.ask(0, fmt.Sprint(n), "question", 10)
+					d.finish(r.Ticket, done("answer", 2, 1))
+				}
+			}
+			d.close()
+			b.ReportAllocs()
+			for b.Loop() {
+				d = take(s)
+				for i := range programs {
+					lot = sequencer.Name{Account: "kamalig", ID: fmt.Sprint("lot-", i)}
+					if v := d.view(); v.Calls != 5 {
+						b.Fatal("lost turns")
+					}
+				}
+				d.close()
+			}
+		})
+	}
+}
--- a/internal/sequencer/wire.go
+++ b/internal/sequencer/wire.go
@@ -168,7 +168,11 @@
 }
 
 // GoneRequest asks which programs no longer need engine memory.
-type GoneRequest struct{ Names []string }
+type GoneRequest struct {
+	Names []string
+	// Idle is how long a program may pause before its memory is given up, zero for ever.
+	Idle time.Duration
+}
 
 // GoneReply lists the programs of the request that are gone for certain.
 type GoneReply struct{ Gone []string }
