--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,13 +39,13 @@
 // lossy loses the answers of commits as told.
 type lossy struct {
 	*emulator.Store
-	lose bool
+	lose atomic.Bool
 }
 
 // Commit implements storer.Table.
 func (l *lossy) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
 	v, err := l.Store.Commit(ctx, tx)
-	if l.lose && err == nil {
+	if l.lose.Load() && err == nil {
 		return 0, storer.ErrUnavailable
 	}
 	return v, err
@@ -71,7 +74,8 @@
 func TestLostAnswerOfTheSwap(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
-	l := &lossy{Store: emulator.NewStore(), lose: true}
+	l := &lossy{Store: emulator.NewStore()}
+	l.lose.Store(true)
 	g := configurer.NewRegistry(l)
 	base, err := g.Load(ctx)
 	is.NoErr(err)
@@ -133,16 +137,29 @@
 
 // friends are the watchers that a watcher may ask.
 type friends struct {
+	mu   sync.Mutex
 	list []*configurer.Watcher
-	cut  bool
+	cut  atomic.Bool
+}
+
+func (f *friends) all() []*configurer.Watcher {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.list)
+}
+
+func (f *friends) add(w *configurer.Watcher) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = append(f.list, w)
 }
 
 // Since implements configurer.Peers.
 func (f *friends) Since(_ context.Context, version uint64) (configurer.SinceReply, error) {
-	for _, w := range f.list {
+	for _, w := range f.all() {
 		var r configurer.SinceReply
 		_ = configurer.NewService(w).Since(&configurer.SinceRequest{Version: version}, &r)
-		if r.Confirmed && !f.cut {
+		if r.Confirmed && !f.cut.Load() {
 			return r, nil
 		}
 	}
@@ -165,12 +182,12 @@
 // gate is the store as one daemon reaches it.
 type gate struct {
 	*lossy
-	down bool
+	down atomic.Bool
 }
 
 // Get implements storer.Table.
 func (g *gate) Get(ctx context.Context, key string) (storer.Row, error) {
-	if g.down {
+	if g.down.Load() {
 		return storer.Row{}, storer.ErrUnavailable
 	}
 	return g.lossy.Get(ctx, key)
@@ -187,7 +204,7 @@
 		g := &gate{lossy: s}
 		w := configurer.NewWatcher(configurer.NewRegistry(g), f, nil)
 		gates, seen = append(gates, g), append(seen, 0)
-		f.list = append(f.list, w)
+		f.add(w)
 		w.Start(ctx)
 	}
 	for range 3 {
@@ -213,16 +230,17 @@
 		case "wait":
 			time.Sleep(5 * time.Second)
 		case "down-0", "down-1", "down-2":
-			gates[step[5]-'0'].down = true
+			gates[step[5]-'0'].down.Store(true)
 		case "up":
-			f.cut, s.lose = false, false
+			f.cut.Store(false)
+			s.lose.Store(false)
 			for _, g := range gates {
-				g.down = false
+				g.down.Store(false)
 			}
 		case "cut":
-			f.cut = true
+			f.cut.Store(true)
 		case "lose":
-			s.lose = true
+			s.lose.Store(true)
 		case "join":
 			join()
 		}
@@ -232,7 +250,7 @@
 				return fmt.Sprintf("daemon %d went back from version %d to %d", k, seen[k], v)
 			}
 			seen[k] = v
-			reached := !gates[k].down
+			reached := !gates[k].down.Load()
 			if step == "wait" && reached && v != accepted {
 				return fmt.Sprintf("daemon %d has version %d in force, %d is accepted for 5 s", k, v, accepted)
 			}
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,18 +24,19 @@
 // faulty is a table whose commits fail as told, one verdict a commit.
 type faulty struct {
 	*emulator.Store
+	mu       sync.Mutex
 	verdicts []string
-	commits  []storer.Transaction
 	late     []storer.Transaction
 }
 
 // Commit implements storer.Table.
 func (f *faulty) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	verdict := "ok"
 	if len(f.verdicts) > 0 {
 		verdict, f.verdicts = f.verdicts[0], f.verdicts[1:]
 	}
-	f.commits = append(f.commits, tx)
 	switch verdict {
 	case "lost-before":
 		return 0, storer.ErrUnavailable
@@ -53,6 +55,8 @@
 
 // deliver applies the commits that were held back.
 func (f *faulty) deliver() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, tx := range f.late {
 		_, _ = f.Store.Commit(context.Background(), tx)
 	}
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,16 +32,37 @@
 // link is the table as one member reaches it.
 type link struct {
 	*emulator.Store
-	cut    bool
+	cut    atomic.Bool
+	lose   atomic.Bool
+	mu     sync.Mutex
 	frozen chan struct{}
-	lose   bool
 }
 
-func (l *link) enter() error {
+func (l *link) freeze() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.frozen == nil {
+		l.frozen = make(chan struct{})
+	}
+}
+
+func (l *link) thaw() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.frozen != nil {
-		<-l.frozen
+		close(l.frozen)
+		l.frozen = nil
 	}
-	if l.cut {
+}
+
+func (l *link) enter() error {
+	l.mu.Lock()
+	frozen := l.frozen
+	l.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+	if l.cut.Load() {
 		return storer.ErrUnavailable
 	}
 	return nil
@@ -67,7 +90,7 @@
 		return 0, err
 	}
 	v, err := l.Store.Commit(ctx, tx)
-	if l.lose && err == nil {
+	if l.lose.Load() && err == nil {
 		return 0, errors.Wrap(storer.ErrUnavailable, "lost")
 	}
 	return v, err
@@ -115,10 +138,7 @@
 
 func closeAll(members []*member) {
 	for _, m := range members {
-		if m.link.frozen != nil {
-			close(m.link.frozen)
-			m.link.frozen = nil
-		}
+		m.link.thaw()
 		m.end()
 		_ = m.Wait()
 	}
@@ -144,8 +164,8 @@
 		fault func(m *member)
 	}{
 		{"killed", func(m *member) { m.end() }},
-		{"frozen past its lease", func(m *member) { m.link.frozen = make(chan struct{}) }},
-		{"cut from the store", func(m *member) { m.link.cut = true }},
+		{"frozen past its lease", func(m *member) { m.link.freeze() }},
+		{"cut from the store", func(m *member) { m.link.cut.Store(true) }},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -174,11 +194,10 @@
 		s := emulator.NewStore()
 		members := []*member{start(s, "a"), start(s, "b")}
 		time.Sleep(20 * time.Second)
-		members[0].link.frozen = make(chan struct{})
+		members[0].link.freeze()
 		time.Sleep(30 * time.Second)
 		is.True(!members[0].Valid())
-		close(members[0].link.frozen)
-		members[0].link.frozen = nil
+		members[0].link.thaw()
 		time.Sleep(20 * time.Second)
 		is.True(each(owners(members), 1))
 		closeAll(members)
@@ -190,7 +209,7 @@
 		is := is.New(t)
 		s := emulator.NewStore()
 		members := []*member{start(s, "a"), start(s, "b")}
-		members[0].link.lose = true
+		members[0].link.lose.Store(true)
 		time.Sleep(30 * time.Second)
 		is.True(each(owners(members), 1))
 		is.True(members[0].Valid())
@@ -234,18 +253,15 @@
 		m := members[step[0]]
 		switch step[1] {
 		case 0, 1:
-			if m.link.frozen == nil {
-				m.link.frozen = make(chan struct{})
-			}
+			m.link.freeze()
 		case 2:
-			m.link.cut = true
+			m.link.cut.Store(true)
 		case 3:
-			m.link.lose = true
+			m.link.lose.Store(true)
 		default:
-			if m.link.frozen != nil {
-				close(m.link.frozen)
-			}
-			m.link.frozen, m.link.cut, m.link.lose = nil, false, false
+			m.link.thaw()
+			m.link.cut.Store(false)
+			m.link.lose.Store(false)
 		}
 		for range step[2] {
 			time.Sleep(100 * time.Millisecond)
--- a/internal/sequencer/sequencer_test.go
+++ b/internal/sequencer/sequencer_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,10 +30,10 @@
 // holder owns the only partition under a fence.
 type holder struct {
 	fence leaser.Fence
-	lost  bool
+	lost  atomic.Bool
 }
 
-func (h *holder) Owns(int) (leaser.Fence, bool) { return h.fence, !h.lost }
+func (h *holder) Owns(int) (leaser.Fence, bool) { return h.fence, !h.lost.Load() }
 func (h *holder) Partitions() int               { return 1 }
 
 // daemon is an owner with its journal.
@@ -155,7 +156,7 @@
 					is.Equal(d.finish(b.Ticket, sequencer.Outcome{Ran: classifier.RanUnknown, Fault: classifier.New(classifier.OutcomeUnknown, classifier.RanUnknown, "")}).Fault, nil)
 				}
 				if row.takeover {
-					d.holder.lost = true
+					d.holder.lost.Store(true)
 					d.close()
 					d = take(s)
 				}
@@ -336,7 +337,7 @@
 			time.Sleep(20 * time.Second)
 		case 5:
 			used += granted
-			d.holder.lost = true
+			d.holder.lost.Store(true)
 			d.close()
 			d = take(s)
 		}
--- a/scripts/variant.sh
+++ b/scripts/variant.sh
@@ -12,7 +12,15 @@
 case $variant in
 ours) POLICIES='{}' ;;
 baseline) POLICIES='{"order": "arrival", "routing": "spread", "fixed-window": true, "no-admission": true}' ;;
-*) POLICIES=$variant ;;
+spread) POLICIES='{"routing": "spread"}' ;;
+fair-arrival) POLICIES='{"order": "fair-arrival"}' ;;
+arrival) POLICIES='{"order": "arrival"}' ;;
+fixed-window) POLICIES='{"fixed-window": true}' ;;
+no-admission) POLICIES='{"no-admission": true}' ;;
+*)
+	echo "unknown variant $variant" >&2
+	exit 2
+	;;
 esac
 span=15s
 programs=150
