--- /dev/null
+++ b/cmd/pimentorail/check.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/configurer"
+	"pimentorail.example/pimentorail/internal/generator"
+)
+
+type checkCommand struct {
+	File string `arg:"" help:"Declarations in JSON." type:"existingfile"`
+}
+
+// Run checks declarations.
+func (c *checkCommand) Run() error {
+	_, err := readDeclarations(c.File)
+	return err
+}
+
+type generateCommand struct {
+	Answers string `arg:"" help:"Answers in JSON." type:"existingfile"`
+}
+
+// Run prints the declarations that follow from answers.
+func (c *generateCommand) Run() error {
+	data, err := os.ReadFile(c.Answers)
+	if err != nil {
+		return errors.Wrap(err, "answers")
+	}
+	out, err := generator.Generate(data)
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(out)
+	return err
+}
+
+type diffCommand struct {
+	connection
+	File string `arg:"" help:"Declarations in JSON." type:"existingfile"`
+}
+
+// Run shows what applying declarations would change.
+func (c *diffCommand) Run(ctx context.Context) error {
+	d, err := readDeclarations(c.File)
+	if err != nil {
+		return err
+	}
+	o, cancel := c.open(ctx)
+	defer cancel()
+	s, err := o.registry.Load(o.ctx)
+	if err != nil {
+		return err
+	}
+	edits, err := configurer.Diff(s, d)
+	if err != nil {
+		return err
+	}
+	return o.print(edits, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "%d changes against version %d\n", len(edits), s.Version())
+		for _, e := range edits {
+			fmt.Fprintln(w, describe(e))
+		}
+		for _, warning := range configurer.Warnings(edits) {
+			fmt.Fprintln(w, "warning: "+warning)
+		}
+	})
+}
+
+// describe shows an edit on one line without key hashes.
+func describe(e configurer.Edit) string {
+	switch {
+	case e.From == nil:
+		return "+ " + e.Key
+	case e.To == nil:
+		return "- " + e.Key
+	}
+	return "~ " + e.Key + "\t" + configurer.Masked(e.From) + "\t→ " + configurer.Masked(e.To)
+}
--- a/internal/configurer/watcher.go
+++ b/internal/configurer/watcher.go
@@ -45,9 +45,6 @@
 	return &Watcher{registry: g, peers: p, reporter: r, snapshot: empty, tick: make(chan struct{}, 1)}
 }
 
-// SetReporter sets who is told the version in force, before Start.
-func (w *Watcher) SetReporter(r Reporter) { w.reporter = r }
-
 // Start follows the head until the context ends.
 func (w *Watcher) Start(ctx context.Context) {
 	w.tomb, _ = tomb.WithContext(ctx)
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -190,10 +189,3 @@
 	}
 	return data, nil
 }
-
-// ObjectKeys returns the keys of all objects in order.
-func (s *Store) ObjectKeys() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Sorted(maps.Keys(s.objects))
-}
--- a/internal/runner/daemon.go
+++ b/internal/runner/daemon.go
@@ -51,7 +51,7 @@
 	store      *storer.Client
 	pool       *linker.Pool
 	server     *linker.Server
-	observers  observers
+	observers  leaser.Observers
 	leaser     *leaser.Leaser
 	journal    *journaler.Journaler
 	programs   *sequencer.Owner
@@ -101,7 +101,7 @@
 		Fixed: d.settings.Policies.FixedWindow, Admit: !d.settings.Policies.NoAdmission,
 	})
 	d.accounts = limiter.NewOwner(d.leaser, d.watcher)
-	d.observers = observers{d.programs, d.replicas, d.accounts}
+	d.observers = leaser.Observers{d.programs, d.replicas, d.accounts}
 }
 
 func (d *Daemon) wireEntry() {
--- a/internal/sequencer/admin.go
+++ b/internal/sequencer/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/leaser"
@@ -202,7 +203,7 @@
 		v.Parent = parent.ID
 	}
 	if history {
-		v.Messages = promptOf(p)
+		v.Messages = slices.Clone(p.history)
 	}
 	return v
 }
--- a/internal/sequencer/begin.go
+++ b/internal/sequencer/begin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -252,6 +251,3 @@
 		p.row.Spent += used
 	}
 }
-
-// promptOf returns the messages of a view.
-func promptOf(p *program) []json.RawMessage { return slices.Clone(p.history) }
--- a/internal/sequencer/owner.go
+++ b/internal/sequencer/owner.go
@@ -25,7 +25,6 @@
 	pollWait       = time.Second
 	commitWait     = 5 * time.Second
 	storeRetry     = 2 * time.Second
-	moveRetry      = time.Second
 )
 
 // Holder says which partitions this daemon owns; a Leaser is one.
@@ -291,7 +290,3 @@
 	klog.V(1).Infof("sequencer: store away: %v", err)
 	return classifier.New(classifier.StoreAway, classifier.RanNo, "the store does not answer").After(storeRetry)
 }
-
-func ownerAway() *classifier.Fault {
-	return classifier.New(classifier.OwnerAway, classifier.RanNo, "the program's owner is being replaced").After(moveRetry)
-}
--- a/internal/trial/node_test.go
+++ b/internal/trial/node_test.go
@@ -22,30 +22,6 @@
 
 const partitions = 8
 
-// observers fans changes of ownership out, as the daemon does.
-type observers []leaser.Observer
-
-func (o observers) Gained(f leaser.Fence) {
-	for _, x := range o {
-		x.Gained(f)
-	}
-}
-
-func (o observers) Lost(p int) {
-	for _, x := range o {
-		x.Lost(p)
-	}
-}
-
-func (o observers) Drain(ctx context.Context, p int) error {
-	for _, x := range o {
-		if err := x.Drain(ctx, p); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // part is a part of a node.
 type part interface {
 	Start(ctx context.Context)
@@ -131,7 +107,7 @@
 	t := &table{w.network, n.address, w.store}
 	link := &wire{w.network, n.address}
 	reached := &reach{w.targets, w.network, n.address}
-	var obs observers
+	var obs leaser.Observers
 	n.leaser = leaser.New(leaser.Options{Table: t, Session: "s-" + n.address, Address: n.address, Zone: "z", Partitions: partitions, Observer: &obs})
 	n.watcher = configurer.NewWatcher(configurer.NewRegistry(t), configurer.NewRemotePeers(link, n.peers), n.leaser)
 	journal := journaler.New(journaler.Options{Table: t, Session: n.leaser.Session(), Interval: 5 * time.Millisecond})
@@ -143,7 +119,7 @@
 	}
 	replicas := allocator.New(allocator.Options{Holder: n.leaser, Catalog: &catalog{n.watcher, leaving}, Order: scheduler.FairLeastAttained, Admit: true})
 	accounts := limiter.NewOwner(n.leaser, n.watcher)
-	obs = observers{owner, replicas, accounts}
+	obs = leaser.Observers{owner, replicas, accounts}
 	slices := limiter.NewPool(&asker{link, n.leaser}, n.leaser.Session())
 	n.conductor = conductor.New(conductor.Options{
 		Caller: link, Map: n.leaser, Config: n.watcher, Limits: slices, Targets: reached, Leaving: leaving, Seed: uint64(made),
