--- a/cmd/pimentorail/check.go
+++ b/cmd/pimentorail/check.go
@@ -71,14 +71,3 @@
 		}
 	})
 }
-
-// describe shows an edit on one line without key hashes.
-func describe(e configurer.Edit) string {
-	switch {
-	case e.From == nil:
-		return "+ " + e.Key
-	case e.To == nil:
-		return "- " + e.Key
-	}
-	return "~ " + e.Key + "\t" + configurer.Masked(e.From) + "\t→ " + configurer.Masked(e.To)
-}
--- a/cmd/pimentorail/status.go
+++ b/cmd/pimentorail/status.go
@@ -29,7 +29,7 @@
 	}
 	return o.print(changes, func(w *tabwriter.Writer) {
 		for _, ch := range changes {
-			fmt.Fprintf(w, "version %d\t%s\t%s\t%s\n", ch.Version, ch.When, ch.Who, ch.Note)
+			fmt.Fprintf(w, "version %d  %s  %s  %s\n", ch.Version, ch.When, ch.Who, ch.Note)
 			for _, e := range ch.Edits {
 				fmt.Fprintln(w, "  "+describe(e))
 			}
