conductor: [fix] keep a question for a turn when the caller leaves

Cause: TestCutAtByteN cut a caller's connection while its entry asked the owner for a turn; the entry gave up, its ticket was lost, and a call that never ran was recorded as unknown after 15 s. Change: a question that was sent is waited for without the caller's context; a caller that left ends only the wait for earlier calls. A ticket that a new owner grants again for the same attempt has its lifetime.

--- a/internal/conductor/work.go
+++ b/internal/conductor/work.go
@@ -27,41 +27,51 @@
 }
 
 // begin waits for the call's turn; each question to the owner is short, so that
-// the ticket's lifetime counts from before the last one was sent.
-func (w *work) begin(ctx context.Context) (*sequencer.BeginReply, *classifier.Fault) {
+// the ticket's lifetime counts from before the last one was sent. A question
+// that was sent is not given up when the caller leaves: its ticket would be
+// lost, and with it the certainty that the call did not run.
+func (w *work) begin(caller context.Context) (*sequencer.BeginReply, *classifier.Fault) {
 	q := &sequencer.BeginRequest{
 		Name: w.call.name(), Number: w.call.Number, Key: w.call.Key, Kind: w.call.kind(),
 		Target: w.call.Target.Name, Repeatable: w.call.repeatable(), Hash: w.call.Hash,
 		Messages: w.call.Messages, MaxTokens: w.call.MaxTokens, Attempt: w.attempt,
 		Session: w.conductor.o.Map.Session(),
 	}
-	ctx, cancel := context.WithTimeout(ctx, beginLimit)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), beginLimit)
 	defer cancel()
 	for {
-		var r *sequencer.BeginReply
-		for {
-			w.begunAt = time.Now()
-			once, stop := context.WithTimeout(ctx, callTimeout)
-			reply, f := ask(once, w.conductor.owners, w.partition(), sequencer.ServiceName+".Begin", q,
-				func(r *sequencer.BeginReply) bool { return r.Moved })
-			stop()
-			if f == nil {
-				r = reply
-				break
-			}
-			if ctx.Err() != nil {
-				return nil, f
-			}
+		r, f := w.askTurn(ctx, q)
+		if f != nil || r.Fault != nil || !r.Waiting {
+			return r, faultOr(f, r)
 		}
-		if r.Fault != nil || !r.Waiting {
-			return r, r.Fault
-		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || caller.Err() != nil {
 			return nil, classifier.New(classifier.CallOutOfOrder, classifier.RanNo, "earlier calls of the program are under way or missing").After(time.Second)
 		}
 	}
 }
 
+// askTurn asks the owner once, again if the answer is lost.
+func (w *work) askTurn(ctx context.Context, q *sequencer.BeginRequest) (*sequencer.BeginReply, *classifier.Fault) {
+	for {
+		w.begunAt = time.Now()
+		once, stop := context.WithTimeout(ctx, callTimeout)
+		r, f := ask(once, w.conductor.owners, w.partition(), sequencer.ServiceName+".Begin", q,
+			func(r *sequencer.BeginReply) bool { return r.Moved })
+		stop()
+		if f == nil || ctx.Err() != nil {
+			return r, f
+		}
+	}
+}
+
+// faultOr returns the fault of a question or of its answer.
+func faultOr(f *classifier.Fault, r *sequencer.BeginReply) *classifier.Fault {
+	if f != nil {
+		return f
+	}
+	return r.Fault
+}
+
 // finish records an outcome, or withdraws the call.
 func (w *work) finish(ctx context.Context, out *sequencer.Outcome, f *classifier.Fault) (*sequencer.Outcome, *classifier.Fault) {
 	if out == nil {
--- a/internal/sequencer/owner.go
+++ b/internal/sequencer/owner.go
@@ -252,7 +252,7 @@
 		return nil, classifier.New(classifier.Internal, classifier.RanNo, "program %q: %d turns for next %d", n.ID, len(p.turns), r.Next)
 	}
 	if in := r.Intent; in != nil {
-		t := Ticket{Name: n, Number: in.Number, Attempt: in.Attempt, Kind: ServiceCall, Hash: in.Hash, Key: in.Key}
+		t := Ticket{Name: n, Number: in.Number, Attempt: in.Attempt, Kind: ServiceCall, Hash: in.Hash, Key: in.Key, Lifetime: ticketLifetime}
 		p.open = &call{ticket: t, target: in.Target, persisted: true, expires: time.Now().Add(ticketLifetime)}
 	}
 	return p, nil
