sequencer,loader,runner: bound the histories in memory, fuzz the parsers

Histories of programs without a call are bounded at 128 MB a daemon; the least recently used ones leave first. Tests: a turn above 32 KB goes to the object store and survives a takeover; an idle history is loaded again.

--- /dev/null
+++ b/internal/runner/fuzz_test.go
@@ -0,0 +1,33 @@
+package runner_test
+
+import (
+	"testing"
+
+	"pimentorail.example/pimentorail/internal/declarer"
+	"pimentorail.example/pimentorail/internal/leaser"
+	"pimentorail.example/pimentorail/internal/runner"
+	"pimentorail.example/pimentorail/internal/sequencer"
+)
+
+// FuzzParsers feeds the same bytes to each parser of settings, declarations, rows and messages.
+func FuzzParsers(f *testing.F) {
+	f.Add([]byte(`{}`))
+	f.Add([]byte(`{"http-address":"127.0.0.1:1","rpc-address":"127.0.0.1:2","zone":"sohar","platform-address":"127.0.0.1:3","secret":"0123456789abcdef"}`))
+	f.Add([]byte(`{"session":"s","address":"a","state":"live"}`))
+	f.Add([]byte(`{"accounts":[],"targets":[],"policy":{"store-outage":"go-on","queue-limit-ms":100,"new-program-limit-ms":100,"max-tokens":1,"hold-idle-ms":1000}}`))
+	f.Add([]byte(`{"role":"user","content":[{"type":"text"}]}`))
+	f.Add([]byte("\xff\x00[[[["))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := runner.ParseSettings(data); err == nil && (s.HTTP == "" || len(s.Secret) < 16) {
+			t.Fatalf("settings accepted: %+v", s)
+		}
+		if m, err := leaser.ParseMember(data); err == nil && m.Session == "" {
+			t.Fatalf("member accepted: %+v", m)
+		}
+		if d, err := declarer.Parse(data); err == nil && len(d.Check()) > 0 {
+			t.Fatalf("declarations accepted: %+v", d)
+		}
+		_, _, _ = leaser.ParsePartition(leaser.PartitionKey(3), data)
+		_ = sequencer.CheckMessage(data)
+	})
+}
--- a/internal/sequencer/finish.go
+++ b/internal/sequencer/finish.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -222,95 +221,3 @@
 	s.program.free()
 	return nil
 }
-
-// Renew keeps a ticket alive and notes the target that serves it.
-func (o *Owner) Renew(ctx context.Context, q *RenewRequest, r *RenewReply) {
-	if _, ok := o.fence(q.Name); !ok {
-		r.Moved = true
-		return
-	}
-	t, p, fault := o.enter(ctx, q.Name)
-	if fault != nil {
-		return
-	}
-	defer t.release()
-	if c := p.open; c != nil && c.ticket.Attempt == q.Attempt {
-		c.expires = time.Now().Add(ticketLifetime)
-		if q.Target != "" {
-			c.target = q.Target
-		}
-		r.Alive = true
-	}
-}
-
-// sweep settles calls whose tickets expired and forgets idle trees.
-func (o *Owner) sweep() {
-	o.mu.Lock()
-	trees := make(map[Name]*tree, len(o.trees))
-	for n, t := range o.trees {
-		trees[n] = t
-	}
-	o.mu.Unlock()
-	o.forgetSettled()
-	for n, t := range trees {
-		select {
-		case t.lock <- struct{}{}:
-			o.sweepTree(n, t)
-			t.release()
-		default:
-		}
-	}
-}
-
-// forgetSettled drops the settled records of roots.
-func (o *Owner) forgetSettled() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for n, r := range o.pending {
-		select {
-		case <-r.Done():
-			delete(o.pending, n)
-		default:
-		}
-	}
-}
-
-func (o *Owner) sweepTree(n Name, t *tree) {
-	f, ok := o.fence(n)
-	if !ok || t.root == nil {
-		return
-	}
-	now := time.Now()
-	for _, p := range t.programs {
-		if c := p.open; c != nil && c.settling == nil && now.After(c.expires) {
-			o.expire(f, t, p)
-		}
-	}
-	if !t.busy() && t.inUse == 0 && now.Sub(t.used) > idleTree {
-		o.retire(f, n, t)
-	}
-}
-
-// retire returns the unused reservation to the budget and forgets the tree.
-func (o *Owner) retire(f leaser.Fence, n Name, t *tree) {
-	if t.root.row.Reserved > 0 {
-		t.root.row.Reserved = 0
-		if w, err := encodeProgram(t.root.name, t.root.row); err == nil {
-			_, _ = o.submit(n, f, []storer.Write{w})
-		}
-		t.used = time.Now()
-		return
-	}
-	o.drop(n, t)
-}
-
-// expire settles a call whose entry is gone: one that must not be repeated is recorded as unknown.
-func (o *Owner) expire(f leaser.Fence, t *tree, p *program) {
-	c := p.open
-	if !c.persisted {
-		o.withdraw(t, p, c.ticket.Reserved)
-		return
-	}
-	fault := classifier.New(classifier.OutcomeUnknown, classifier.RanUnknown, "the entry of call %d is gone", c.ticket.Number)
-	_, _ = o.record(context.Background(), f, t, p, Outcome{Ran: classifier.RanUnknown, Fault: fault, Target: c.target})
-}
--- a/internal/sequencer/owner.go
+++ b/internal/sequencer/owner.go
@@ -18,7 +18,8 @@
 const (
 	ticketLifetime = 15 * time.Second
 	sweepPeriod    = time.Second
-	idleTree       = time.Minute
+	idleLimit      = time.Minute
+	maxBytes       = 128 << 20
 	maxWaiting     = 16
 	maxTurns       = 400
 	reserveChunk   = 4096
@@ -47,6 +48,8 @@
 	Objects storer.Objects
 	// MaxTurns bounds the calls of a program; zero takes the default.
 	MaxTurns int
+	// MaxBytes bounds the histories in memory of programs without a call; zero takes the default.
+	MaxBytes int
 }
 
 // Owner serves the programs of the partitions that its daemon owns.
@@ -65,6 +68,9 @@
 	if o.MaxTurns == 0 {
 		o.MaxTurns = maxTurns
 	}
+	if o.MaxBytes == 0 {
+		o.MaxBytes = maxBytes
+	}
 	return &Owner{o: o, trees: map[Name]*tree{}, draining: map[int]bool{}, pending: map[Name]*journaler.Record{}}
 }
 
--- a/internal/sequencer/program.go
+++ b/internal/sequencer/program.go
@@ -97,6 +97,15 @@
 	return false
 }
 
+// bytes returns the size of the histories in memory.
+func (t *tree) bytes() int {
+	n := 0
+	for _, p := range t.programs {
+		n += p.bytes
+	}
+	return n
+}
+
 func (t *tree) acquire() { t.lock <- struct{}{} }
 
 func (t *tree) release() { <-t.lock }
--- a/internal/sequencer/sequencer_test.go
+++ b/internal/sequencer/sequencer_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -46,7 +47,10 @@
 var sessions int
 
 // take starts a daemon that takes the partition over from any earlier one.
-func take(s *emulator.Store) *daemon {
+func take(s *emulator.Store) *daemon { return takeWith(s, 0) }
+
+// takeWith is take with a bound on the histories in memory.
+func takeWith(s *emulator.Store, maxBytes int) *daemon {
 	ctx, cancel := context.WithCancel(context.Background())
 	row, _ := s.Get(ctx, leaser.PartitionKey(0))
 	v, err := s.Commit(ctx, storer.Transaction{
@@ -59,7 +63,7 @@
 	sessions++
 	d := &daemon{holder: &holder{fence: leaser.Fence{Version: v}}, cancel: cancel}
 	d.journal = journaler.New(journaler.Options{Table: s, Session: fmt.Sprint(sessions)})
-	d.Owner = sequencer.New(sequencer.Options{Holder: d.holder, Journal: d.journal, Table: s, Objects: s})
+	d.Owner = sequencer.New(sequencer.Options{Holder: d.holder, Journal: d.journal, Table: s, Objects: s, MaxBytes: maxBytes})
 	d.journal.Start(ctx)
 	d.Start(ctx)
 	return d
@@ -87,7 +91,7 @@
 func (d *daemon) ask(number int, attempt, text string, most int) sequencer.BeginReply {
 	var r sequencer.BeginReply
 	d.Begin(context.Background(), &sequencer.BeginRequest{
-		Name: lot, Number: number, Kind: sequencer.ModelCall, Repeatable: true, Hash: text,
+		Name: lot, Number: number, Kind: sequencer.ModelCall, Repeatable: true, Hash: text[:min(len(text), 32)],
 		Messages: []json.RawMessage{user(text)}, MaxTokens: most, Attempt: attempt,
 	}, &r)
 	return r
@@ -228,6 +232,47 @@
 	})
 }
 
+func TestLongTurnsGoToTheObjectStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := emulator.NewStore()
+		d := take(s)
+		is.Equal(d.create(1_000_000), nil)
+		long := strings.Repeat("frond ", 20_000)
+		b := d.ask(1, "a", long, 10)
+		is.Equal(d.finish(b.Ticket, done("answer", 30_000, 1)).Fault, nil)
+		is.True(s.Counts().Bytes < len(long)) // The row holds a reference.
+		d.close()
+		d = take(s)
+		is.Equal(string(d.view().Messages[0]), string(user(long)))
+		d.close()
+	})
+}
+
+func TestIdleHistoriesLeaveMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := emulator.NewStore()
+		d := take(s)
+		is.Equal(d.create(1_000_000), nil)
+		b := d.ask(1, "a", strings.Repeat("frond ", 1000), 10)
+		is.Equal(d.finish(b.Ticket, done("answer", 1500, 1)).Fault, nil)
+		time.Sleep(10 * time.Second)
+		is.Equal(d.view().Calls, 1)
+		reads := s.Counts().Reads
+		is.Equal(d.view().Calls, 1)
+		is.Equal(s.Counts().Reads, reads) // In memory.
+		d.close()
+		small := takeWith(s, 1000)
+		is.Equal(small.view().Calls, 1)
+		time.Sleep(3 * time.Second)
+		reads = s.Counts().Reads
+		is.Equal(small.view().Calls, 1)
+		is.True(s.Counts().Reads > reads) // Loaded again.
+		small.close()
+	})
+}
+
 func TestSameKeyOtherBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
