scheduler,allocator,loader: finish what is under way first

Cause: in a crest (3 times capacity for 10 s) all programs finished late: least attained service in levels from 512 tokens spreads the service over all of them, and ageing of 2 s a level undid the order after 10 s of waiting. Change: the first level holds an ordinary program (4,096 tokens), ageing is 10 s a level, and a first call starts one level below calls of programs under way. Also: unused fields and functions go; summary prints medians of reports.

--- a/cmd/pimentorail/main.go
+++ b/cmd/pimentorail/main.go
@@ -52,6 +52,7 @@
 	Tool     toolCommand     `cmd:"" help:"Run the stand-in of a plain service."`
 	Balancer balancerCommand `cmd:"" help:"Run the stand-in of the balancer."`
 	Load     loadCommand     `cmd:"" help:"Play seeded programs and check the promises."`
+	Summary  summaryCommand  `cmd:"" help:"Print medians and ranges of the load tool's reports."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/pimentorail/summary.go
@@ -0,0 +1,14 @@
+package main
+
+import (
+	"os"
+
+	"pimentorail.example/pimentorail/internal/loader"
+)
+
+type summaryCommand struct {
+	Folder string `arg:"" help:"Folder of reports." type:"existingdir"`
+}
+
+// Run prints medians and ranges of the reports in a folder.
+func (c *summaryCommand) Run() error { return loader.Summarize(c.Folder, os.Stdout) }
--- a/internal/allocator/owner.go
+++ b/internal/allocator/owner.go
@@ -234,14 +234,3 @@
 	a.Stale = r.pace.Stale(now.Sub(o.start), paceAge)
 	a.InFlight, a.Window, a.Queued = len(r.slots), r.window.Size(), r.queue.Len()
 }
-
-// Owned returns the names of the replicas that are owned and in use.
-func (o *Owner) Owned() []string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	names := make([]string, 0, len(o.replicas))
-	for n := range o.replicas {
-		names = append(names, n)
-	}
-	return names
-}
--- a/internal/allocator/replica.go
+++ b/internal/allocator/replica.go
@@ -108,7 +108,7 @@
 	w := &waiter{request: *q, cost: r.cost(q.Tokens), arrived: now, asked: now, granted: make(chan struct{})}
 	r.waiters[q.ID] = w
 	r.queue.Push(scheduler.Item{
-		ID: q.ID, Account: q.Account, Weight: q.Weight, Attained: q.Attained, Cost: w.cost, Arrived: since,
+		ID: q.ID, Account: q.Account, Weight: q.Weight, Attained: q.Attained, New: q.New, Cost: w.cost, Arrived: since,
 	})
 	return w
 }
--- a/internal/allocator/wire.go
+++ b/internal/allocator/wire.go
@@ -17,6 +17,8 @@
 	Account  string
 	Weight   int
 	Attained int
+	// New says that it is the first call of a program, or a call of its own.
+	New bool
 	// Tokens is the expected prompt that is not cached.
 	Tokens int
 	// Limit is the longest wait in the queue that the caller accepts.
@@ -37,7 +39,6 @@
 type ReleaseRequest struct {
 	ID      string
 	Replica string
-	Account string
 	// Service is the work done, in tokens, zero if the call failed.
 	Service int
 	// First is the time to the first token, Gap the time between tokens, Took the whole time.
--- a/internal/conductor/place.go
+++ b/internal/conductor/place.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"encoding/json"
 	"strconv"
 	"sync"
 	"time"
@@ -36,7 +35,7 @@
 
 // release returns the slot with what was observed.
 func (s *slot) release(q allocator.ReleaseRequest) {
-	q.ID, q.Replica, q.Account = s.id, s.replica, s.account
+	q.ID, q.Replica = s.id, s.replica
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	_, _ = ask(ctx, s.conductor.owners, s.conductor.replicaPartition(s.replica), allocator.ServiceName+".Release", &q,
@@ -139,7 +138,7 @@
 	s := &slot{conductor: c, id: w.attempt + "@" + cand.Replica, replica: cand.Replica, address: r.Address, account: w.call.Account.Name}
 	q := &allocator.AcquireRequest{
 		ID: s.id, Replica: s.replica, Session: c.o.Map.Session(), Account: s.account, Weight: w.call.Account.Weight,
-		Tokens: max(0, w.promptTokens()-cand.Cached), Limit: c.queueLimit(w.call, started),
+		Tokens: max(0, w.promptTokens()-cand.Cached), Limit: c.queueLimit(w.call, started), New: !started,
 	}
 	if w.begun != nil {
 		q.Attained = w.begun.Attained
@@ -187,11 +186,9 @@
 	if len(messages) == 0 {
 		return ""
 	}
-	return w.call.Account.Name + string(first(messages))
+	return w.call.Account.Name + string(messages[0])
 }
 
-func first(messages []json.RawMessage) []byte { return messages[0] }
-
 func streamID(t sequencer.Ticket) string {
 	sum := xxhash.Sum64String(t.Name.String() + "/" + strconv.Itoa(t.Number) + "/" + t.Hash)
 	return t.Name.ID + "-" + strconv.Itoa(t.Number) + "-" + hex.EncodeToString([]byte(strconv.FormatUint(sum, 16)))
--- a/internal/conductor/work.go
+++ b/internal/conductor/work.go
@@ -35,7 +35,6 @@
 		Name: w.call.name(), Number: w.call.Number, Key: w.call.Key, Kind: w.call.kind(),
 		Target: w.call.Target.Name, Repeatable: w.call.repeatable(), Hash: w.call.Hash,
 		Messages: w.call.Messages, MaxTokens: w.call.MaxTokens, Attempt: w.attempt,
-		Session: w.conductor.o.Map.Session(),
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), beginLimit)
 	defer cancel()
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -20,8 +20,6 @@
 
 // EngineOptions sizes an engine; zero values take defaults.
 type EngineOptions struct {
-	// Model is the model that the engine serves.
-	Model string
 	// Batch is the most requests that decode together.
 	Batch int
 	// Gap is the time between tokens of a lone request.
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -22,10 +22,8 @@
 	nodes     []prefixNode
 	seed      uint64
 	want      int
-	prefill   int
 	usage     Usage
 	tokens    []string
-	admitted  bool
 	finish    string
 	changed   chan struct{}
 	cancelled bool
--- a/internal/scheduler/account.go
+++ b/internal/scheduler/account.go
@@ -31,8 +31,8 @@
 		if q.Len() == 0 {
 			continue
 		}
-		waited := now - q.Front().Value.(*Item).Arrived
-		rank := float64(l) - float64(waited)/float64(ageing)
+		head := q.Front().Value.(*Item)
+		rank := float64(l) - float64(now-head.Arrived)/float64(ageing)
 		if best < 0 || rank < least {
 			best, least = l, rank
 		}
--- a/internal/scheduler/item.go
+++ b/internal/scheduler/item.go
@@ -11,6 +11,8 @@
 	Weight  int
 	// Attained is the service that the whole program has had, in tokens.
 	Attained int
+	// New says that it is the first call of a program, or a call of its own.
+	New bool
 	// Cost is the expected service of the call, in tokens.
 	Cost float64
 	// Arrived is when the call arrived, on any monotonic scale.
--- a/internal/scheduler/order.go
+++ b/internal/scheduler/order.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "time"
+
 // Order is a policy for the order of waiting calls.
 type Order string
 
@@ -14,11 +16,21 @@
 
 const (
 	levels        = 6
-	firstLevel    = 512
+	firstLevel    = 4096
 	levelFactor   = 4
-	defaultAgeing = 2e9
+	defaultAgeing = 10 * time.Second
 )
 
+// level returns the level of a waiting call: new programs start one level below
+// those that are under way, so that a burst does not hold up what was begun.
+func (it *Item) level() int {
+	l := Level(it.Attained)
+	if it.New {
+		l = min(l+1, levels-1)
+	}
+	return l
+}
+
 // Level returns the level of a program by its attained service; level zero goes first.
 func Level(attained int) int {
 	bound := firstLevel
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -54,7 +54,7 @@
 	case Arrival:
 		name = ""
 	case FairLeastAttained:
-		l = Level(it.Attained)
+		l = it.level()
 	}
 	a := q.accounts[name]
 	if a == nil {
--- a/internal/sequencer/wire.go
+++ b/internal/sequencer/wire.go
@@ -39,8 +39,6 @@
 	MaxTokens int
 	// Attempt identifies the entry's attempt, so that Begin can be repeated.
 	Attempt string
-	// Session is the entry's session.
-	Session string
 }
 
 // BeginReply grants a ticket, replays a recorded outcome, or says why not.
--- a/scripts/variant.sh
+++ b/scripts/variant.sh
@@ -27,7 +27,6 @@
 flags=""
 case $measure in
 load) ;;
-calm) ;;
 stragglers) flags="--stragglers 0.05 --longer 50" ;;
 crest) programs=625 span=50s flags="--burst 6" ;;
 slow) ;;
