--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build run test measure slopes faults lint
+.PHONY: build run test measure slopes stops faults lint
 
 build:
 	go build -o bin/pimentorail ./cmd/pimentorail
@@ -15,6 +15,9 @@
 slopes: build
 	sh scripts/slopes.sh
 
+stops: build
+	sh scripts/stops.sh
+
 faults: build
 	sh scripts/faults.sh
 
--- a/internal/configurer/configurer_test.go
+++ b/internal/configurer/configurer_test.go
@@ -264,7 +264,8 @@
 
 func BenchmarkOneChangeInManyAccounts(b *testing.B) {
 	ctx := context.Background()
-	g := configurer.NewRegistry(emulator.NewStore())
+	store := emulator.NewStore()
+	g := configurer.NewRegistry(store)
 	d := &declarer.Declarations{Policy: declarer.Policy{StoreOutage: declarer.GoOn}}
 	for i := range 40_000 {
 		d.Accounts = append(d.Accounts, declarer.Account{Name: fmt.Sprintf("account-%05d", i), KeyHash: fmt.Sprintf("%064x", i), Weight: 1, InFlight: 10, Targets: []string{"chat"}, ProgramBudget: 1})
@@ -279,6 +280,7 @@
 	w := configurer.NewWatcher(g, nil, nil)
 	w.Tick(ctx)
 	b.ReportAllocs()
+	before := store.Counts().Bytes
 	for i := 0; b.Loop(); i++ {
 		b.StopTimer()
 		d.Accounts[i%40_000].Weight++
@@ -288,4 +290,5 @@
 		b.StartTimer()
 		w.Tick(ctx)
 	}
+	b.ReportMetric(float64(store.Counts().Bytes-before)/float64(b.N), "bytes-written/op")
 }
--- a/internal/emulator/cache.go
+++ b/internal/emulator/cache.go
@@ -2,12 +2,17 @@
 
 import (
 	"container/list"
+	"sort"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-const bytesPerToken = 4
+const (
+	bytesPerToken = 4
+	eventLag      = 500 * time.Millisecond
+)
 
 // prefixCache is an LRU over message prefixes with a capacity in tokens.
 type prefixCache struct {
@@ -16,6 +21,7 @@
 	nodes    map[uint64]*list.Element
 	order    *list.List
 	events   []CacheEvent
+	times    []time.Time
 }
 
 type prefixNode struct {
@@ -94,7 +100,14 @@
 	c.event(n.hash, false)
 }
 
+// eventsAfter returns the events after a number that are old enough to be told.
+func (c *prefixCache) eventsAfter(number int) []CacheEvent {
+	told := sort.Search(len(c.times), func(i int) bool { return time.Since(c.times[i]) < eventLag })
+	return c.events[min(max(0, number), told):told]
+}
+
 func (c *prefixCache) event(hash uint64, stored bool) {
 	ev := CacheEvent{Number: len(c.events) + 1, Hash: strconv.FormatUint(hash, 16), Stored: stored}
 	c.events = append(c.events, ev)
+	c.times = append(c.times, time.Now())
 }
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -57,6 +57,7 @@
 	running []*stream
 	cache   *prefixCache
 	held    map[string]int
+	kept    map[string][]prefixNode
 	fence   uint64
 	orders  []Order
 	state   EngineState
@@ -93,7 +94,7 @@
 	o.Prefill = cmp.Or(o.Prefill, 20*time.Microsecond)
 	o.CacheTokens = cmp.Or(o.CacheTokens, 100_000)
 	e := &Engine{
-		o: o, streams: map[string]*stream{}, held: map[string]int{},
+		o: o, streams: map[string]*stream{}, held: map[string]int{}, kept: map[string][]prefixNode{},
 		cache: newPrefixCache(o.CacheTokens), state: EngineState{Role: "mixed"},
 	}
 	e.tomb, _ = tomb.WithContext(ctx)
@@ -162,6 +163,7 @@
 		e.counts.Cached += cached
 		if s.program != "" {
 			e.held[s.program] = total
+			e.kept[s.program] = s.nodes
 		}
 		e.running = append(e.running, s)
 	}
@@ -248,6 +250,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.held, program)
+	delete(e.kept, program)
 }
 
 // Counts returns the engine's account of its work.
--- a/internal/emulator/engineserver.go
+++ b/internal/emulator/engineserver.go
@@ -22,6 +22,8 @@
 	m.HandleFunc(pat.Get("/v1/events"), e.serveEvents)
 	m.HandleFunc(pat.Post("/v1/orders"), e.serveOrder)
 	m.HandleFunc(pat.Get("/v1/state"), e.serveState)
+	m.HandleFunc(pat.Get("/v1/kv/:program"), e.serveExport)
+	m.HandleFunc(pat.Put("/v1/kv/:program"), e.serveImport)
 	m.HandleFunc(pat.Post("/fault"), e.serveFault)
 	m.HandleFunc(pat.Get("/counts"), e.serveCounts)
 	return m
@@ -112,7 +114,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	events := []CacheEvent{}
-	for _, ev := range e.cache.events[min(max(0, after), len(e.cache.events)):] {
+	for _, ev := range e.cache.eventsAfter(after) {
 		if !e.faults.LoseEvents || ev.Number%2 == 0 {
 			events = append(events, ev)
 		}
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -21,6 +21,8 @@
 	LoseEvery int `json:"lose-every"`
 	// DelayMS delays every request, in milliseconds.
 	DelayMS int `json:"delay-ms"`
+	// ListLagMS is how late the list of VMs shows a change, in milliseconds.
+	ListLagMS int `json:"list-lag-ms"`
 }
 
 // Store is an in-memory table service and object store.
@@ -34,6 +36,8 @@
 	written  int
 	faults   StoreFaults
 	machines []storer.Machine
+	earlier  []storer.Machine
+	changed  time.Time
 }
 
 // NewStore returns an empty store without faults.
@@ -53,13 +57,16 @@
 func (s *Store) SetMachines(vms []storer.Machine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.machines = slices.Clone(vms)
+	s.earlier, s.machines, s.changed = s.machines, slices.Clone(vms), time.Now()
 }
 
-// Machines returns the list of VMs.
+// Machines returns the list of VMs, which lags behind SetMachines.
 func (s *Store) Machines(context.Context) ([]storer.Machine, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if time.Since(s.changed) < time.Duration(s.faults.ListLagMS)*time.Millisecond {
+		return slices.Clone(s.earlier), nil
+	}
 	return slices.Clone(s.machines), nil
 }
 
