sequencer,journaler: [fix] refuse at once in an outage, and go on after it

Change: an owner whose lease lapsed while the map still names it refuses with store-away, ran: no and when to come back; a batch whose records are all fenced off shows that the store answers.

--- a/cmd/pimentorail/apply.go
+++ b/cmd/pimentorail/apply.go
@@ -24,13 +24,9 @@
 
 // Run applies declarations.
 func (c *applyCommand) Run(ctx context.Context) error {
-	d, err := readDeclarations(c.File)
-	if err != nil {
-		return err
-	}
 	o, cancel := c.open(ctx)
 	defer cancel()
-	s, err := o.registry.Load(o.ctx)
+	d, s, err := o.beside(c.File)
 	if err != nil {
 		return err
 	}
--- a/cmd/pimentorail/check.go
+++ b/cmd/pimentorail/check.go
@@ -47,13 +47,9 @@
 
 // Run shows what applying declarations would change.
 func (c *diffCommand) Run(ctx context.Context) error {
-	d, err := readDeclarations(c.File)
-	if err != nil {
-		return err
-	}
 	o, cancel := c.open(ctx)
 	defer cancel()
-	s, err := o.registry.Load(o.ctx)
+	d, s, err := o.beside(c.File)
 	if err != nil {
 		return err
 	}
--- a/cmd/pimentorail/operate.go
+++ b/cmd/pimentorail/operate.go
@@ -53,3 +53,13 @@
 	}
 	return declarer.Parse(data)
 }
+
+// beside returns the declarations of a file and those at the head.
+func (o *operator) beside(file string) (*declarer.Declarations, *configurer.Snapshot, error) {
+	d, err := readDeclarations(file)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := o.registry.Load(o.ctx)
+	return d, s, err
+}
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -169,6 +169,15 @@
 			return
 		}
 	}
+	// The store has answered that every record is fenced off.
+	j.recover()
+}
+
+// recover notes that the store answers.
+func (j *Journaler) recover() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.failing = time.Time{}
 }
 
 // resolve reads back whether the batch took effect, and rejects what is fenced off.
@@ -210,8 +219,8 @@
 
 func (j *Journaler) succeed(b *batch, tx storer.Transaction, version uint64) {
 	j.version = version
+	j.recover()
 	j.mu.Lock()
-	j.failing = time.Time{}
 	j.counts.Batches++
 	j.counts.Records += len(b.records)
 	for _, w := range tx.Writes {
--- a/internal/journaler/journaler_test.go
+++ b/internal/journaler/journaler_test.go
@@ -143,6 +143,29 @@
 	})
 }
 
+func TestOutageIsOverOnceARecordIsFencedOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := emulator.NewStore()
+		fence := own(s, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		j := journaler.New(journaler.Options{Table: s, Session: "s"})
+		j.Start(ctx)
+		s.SetFaults(emulator.StoreFaults{Down: true})
+		r, err := j.Submit(fence, []storer.Write{{Key: "k", Value: []byte("v")}})
+		is.NoErr(err)
+		time.Sleep(10 * time.Second)
+		is.True(j.Away())
+		s.SetFaults(emulator.StoreFaults{})
+		own(s, 1) // The partition is taken over as soon as the store is back.
+		is.True(errors.Is(r.Wait(ctx), journaler.ErrFenced))
+		synctest.Wait()
+		is.True(!j.Away())
+		cancel()
+		_ = j.Wait()
+	})
+}
+
 // TestRecordsAgainstOracle submits records of several partitions while answers
 // are lost, commits come late and partitions are taken over, and compares the
 // rows with what was reported.
--- a/internal/sequencer/admin.go
+++ b/internal/sequencer/admin.go
@@ -22,7 +22,7 @@
 	}
 	f, ok := o.fence(q.Name)
 	if !ok {
-		r.Moved = true
+		o.turnAway(q.Name, &r.Fault, &r.Moved)
 		return
 	}
 	t := o.lockTree(q.Name.Root())
@@ -183,7 +183,7 @@
 		return nil, nil
 	}
 	if _, ok := o.fence(n); !ok {
-		*moved = true
+		o.turnAway(n, fault, moved)
 		return nil, nil
 	}
 	t, p, f := o.enter(ctx, n)
--- a/internal/sequencer/begin.go
+++ b/internal/sequencer/begin.go
@@ -22,7 +22,7 @@
 	for {
 		f, ok := o.fence(q.Name)
 		if !ok {
-			r.Moved = true
+			o.turnAway(q.Name, &r.Fault, &r.Moved)
 			return
 		}
 		t, p, fault := o.enter(ctx, q.Name)
--- a/internal/sequencer/finish.go
+++ b/internal/sequencer/finish.go
@@ -19,7 +19,7 @@
 	}
 	f, ok := o.fence(k.Name)
 	if !ok {
-		r.Moved = true
+		o.turnAway(k.Name, &r.Fault, &r.Moved)
 		return
 	}
 	t, p, fault := o.enter(ctx, k.Name)
--- a/internal/sequencer/owner.go
+++ b/internal/sequencer/owner.go
@@ -31,6 +31,8 @@
 // Holder says which partitions this daemon owns; a Leaser is one.
 type Holder interface {
 	Owns(partition int) (leaser.Fence, bool)
+	// Keeps reports whether the last known map names this daemon, whatever its lease.
+	Keeps(partition int) bool
 	Partitions() int
 }
 
@@ -147,6 +149,17 @@
 	return o.o.Holder.Owns(p)
 }
 
+// turnAway says why calls of a program can't be served here: another daemon owns
+// it, or this one does and its lease lapsed, since the store does not answer.
+func (o *Owner) turnAway(n Name, fault **classifier.Fault, moved *bool) {
+	p := n.Partition(o.o.Holder.Partitions())
+	if _, owns := o.o.Holder.Owns(p); !owns && o.o.Holder.Keeps(p) {
+		*fault = storeAway(errors.New("the lease has lapsed"))
+		return
+	}
+	*moved = true
+}
+
 // lockTree returns the locked tree of a root, loaded or not.
 func (o *Owner) lockTree(root Name) *tree {
 	for {
--- a/internal/sequencer/sequencer_test.go
+++ b/internal/sequencer/sequencer_test.go
@@ -34,6 +34,7 @@
 }
 
 func (h *holder) Owns(int) (leaser.Fence, bool) { return h.fence, !h.lost.Load() }
+func (h *holder) Keeps(int) bool                { return !h.lost.Load() }
 func (h *holder) Partitions() int               { return 1 }
 
 // daemon is an owner with its journal.
