--- a/internal/limiter/limiter_test.go
+++ b/internal/limiter/limiter_test.go
@@ -56,6 +56,19 @@
 	})
 }
 
+// TestLostAnswerOfASmallerRequest is the case in which a holder once kept a
+// slice that the owner had granted to another.
+func TestLostAnswerOfASmallerRequest(t *testing.T) {
+	is := is.New(t)
+	g := limiter.NewGrants(-limiter.Lifetime)
+	var first, second limiter.Slice
+	first.Set(g.Ask("first", 1, 0, 1, 0), 0)
+	first.Offer(0)
+	g.Ask("first", 0, first.Amount(0), 1, 0) // Its answer is lost.
+	second.Set(g.Ask("second", 1, 0, 1, 0), 0)
+	is.Equal(first.Amount(0)+second.Amount(0), 1)
+}
+
 func TestOneHolderKeepsNothingFromAnother(t *testing.T) {
 	is := is.New(t)
 	g := limiter.NewGrants(-limiter.Lifetime)
