listener,conductor,scheduler,scripts: join what stood twice

Change: Listener.open, used in scripts/common.sh, askTurn returns the fault of its answer, Pace.First goes. Behaviour stays as it is.

--- a/internal/conductor/work.go
+++ b/internal/conductor/work.go
@@ -40,8 +40,8 @@
 	defer cancel()
 	for {
 		r, f := w.askTurn(ctx, q)
-		if f != nil || r.Fault != nil || !r.Waiting {
-			return r, faultOr(f, r)
+		if f != nil || !r.Waiting {
+			return r, f
 		}
 		if ctx.Err() != nil || caller.Err() != nil {
 			return nil, classifier.New(classifier.CallOutOfOrder, classifier.RanNo, "earlier calls of the program are under way or missing").After(time.Second)
@@ -57,20 +57,15 @@
 		r, f := ask(once, w.conductor.owners, w.partition(), sequencer.ServiceName+".Begin", q,
 			func(r *sequencer.BeginReply) bool { return r.Moved })
 		stop()
-		if f == nil || ctx.Err() != nil {
-			return r, f
+		if f == nil {
+			return r, r.Fault
+		}
+		if ctx.Err() != nil {
+			return nil, f
 		}
 	}
 }
 
-// faultOr returns the fault of a question or of its answer.
-func faultOr(f *classifier.Fault, r *sequencer.BeginReply) *classifier.Fault {
-	if f != nil {
-		return f
-	}
-	return r.Fault
-}
-
 // finish records an outcome, or withdraws the call.
 func (w *work) finish(ctx context.Context, out *sequencer.Outcome, f *classifier.Fault) (*sequencer.Outcome, *classifier.Fault) {
 	if out == nil {
--- a/internal/listener/chat.go
+++ b/internal/listener/chat.go
@@ -76,14 +76,8 @@
 
 // serveChat serves POST /v1/chat/completions.
 func (l *Listener) serveChat(w http.ResponseWriter, r *http.Request) {
-	account, f := l.account(r)
-	if f != nil {
-		writeFault(w, f)
-		return
-	}
-	body, f := readBody(w, r, maxChatBytes)
-	if f != nil {
-		writeFault(w, f)
+	account, body, ok := l.open(w, r, maxChatBytes)
+	if !ok {
 		return
 	}
 	q, f := parseChat(body)
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -120,6 +120,21 @@
 	return c, nil
 }
 
+// open returns the account and the whole body of a request, or answers with the fault.
+func (l *Listener) open(w http.ResponseWriter, r *http.Request, limit int64) (declarer.Account, []byte, bool) {
+	account, f := l.account(r)
+	if f != nil {
+		writeFault(w, f)
+		return account, nil, false
+	}
+	body, f := readBody(w, r, limit)
+	if f != nil {
+		writeFault(w, f)
+		return account, nil, false
+	}
+	return account, body, true
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *classifier.Fault) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var large *http.MaxBytesError
--- a/internal/listener/program.go
+++ b/internal/listener/program.go
@@ -25,14 +25,8 @@
 
 // serveCreate serves POST /v1/programs.
 func (l *Listener) serveCreate(w http.ResponseWriter, r *http.Request) {
-	account, f := l.account(r)
-	if f != nil {
-		writeFault(w, f)
-		return
-	}
-	body, f := readBody(w, r, maxProgramBytes)
-	if f != nil {
-		writeFault(w, f)
+	account, body, ok := l.open(w, r, maxProgramBytes)
+	if !ok {
 		return
 	}
 	var q programRequest
--- a/internal/listener/service.go
+++ b/internal/listener/service.go
@@ -14,14 +14,8 @@
 
 // serveService serves POST /v1/services/:target.
 func (l *Listener) serveService(w http.ResponseWriter, r *http.Request) {
-	account, f := l.account(r)
-	if f != nil {
-		writeFault(w, f)
-		return
-	}
-	body, f := readBody(w, r, maxServiceBytes)
-	if f != nil {
-		writeFault(w, f)
+	account, body, ok := l.open(w, r, maxServiceBytes)
+	if !ok {
 		return
 	}
 	name := pat.Param(r, "target")
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -10,7 +10,6 @@
 // Pace is a replica's speed as seen by our own streams.
 type Pace struct {
 	gap     float64
-	first   float64
 	least   float64
 	prefill float64
 	tokens  float64
@@ -22,9 +21,6 @@
 // Gap returns the smoothed time between tokens, zero if unknown.
 func (p *Pace) Gap() time.Duration { return time.Duration(p.gap) }
 
-// First returns the smoothed time to the first token, zero if unknown.
-func (p *Pace) First() time.Duration { return time.Duration(p.first) }
-
 // Tokens returns the smoothed service of a call, in tokens.
 func (p *Pace) Tokens() float64 { return p.tokens }
 
@@ -47,7 +43,6 @@
 // ObserveFirst takes the time to the first token of a call and the number of
 // prompt tokens that were computed for it.
 func (p *Pace) ObserveFirst(d time.Duration, computed int) {
-	smooth(&p.first, float64(d), paceWeight)
 	if p.least == 0 || float64(d) < p.least {
 		p.least = float64(d)
 	}
--- a/scripts/common.sh
+++ b/scripts/common.sh
@@ -147,3 +147,14 @@
 	shift
 	eval "echo \${$n}"
 }
+
+# used PIDS...: processor ticks of processes so far, TICKS a second.
+TICKS=$(getconf CLK_TCK)
+used() {
+	sum=0
+	for p in "$@"; do
+		t=$(awk '{print $14 + $15}' "/proc/$p/stat")
+		sum=$((sum + t))
+	done
+	echo "$sum"
+}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -7,17 +7,6 @@
 ACCOUNTS=4
 . "$(dirname "$0")/common.sh"
 SPAN=${SPAN:-20}
-TICKS=$(getconf CLK_TCK)
-
-# used PIDS...: processor ticks of processes so far.
-used() {
-	sum=0
-	for p in "$@"; do
-		t=$(awk '{print $14 + $15}' "/proc/$p/stat")
-		sum=$((sum + t))
-	done
-	echo "$sum"
-}
 
 # resident PIDS...: resident memory in kB, summed.
 resident() {
