all: serve the users' machines through platform/, first whole path

Cause: the product knew only its own protocol and stand-ins; the users' machines speak another, keep nothing and have no machine for control.

Change: new product packages for what it lacked: cataloger (routes by host and longest prefix, weights), tracker (replicas of a registry, also through an outage), placer (choice of a replica, pure), connector (HTTP/1.1 exchanges that never repeat by themselves), archivist (immutable turns with a parent), budgeter (durable reservations), forwarder (the path of a request), follower, recorder (log lines that never block) and server (the wiring). platform/ translates the settings, the store, the two tables and the headers.

--- a/cmd/pimentorail/main.go
+++ b/cmd/pimentorail/main.go
@@ -36,6 +36,8 @@
 
 	Daemon daemonCommand `cmd:"" help:"Run a daemon until it is told to stop (SIGTERM, SIGINT)."`
 
+	Serve serveCommand `cmd:"" help:"Run a daemon by the settings of the users' platform."`
+
 	Schema   schemaCommand   `cmd:"" help:"Print the schema of settings, answers or declarations."`
 	Check    checkCommand    `cmd:"" help:"Check declarations."`
 	Generate generateCommand `cmd:"" help:"Generate declarations from the answers of a questionnaire."`
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,221 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"pimentorail.example/pimentorail/internal/archivist"
+	"pimentorail.example/pimentorail/internal/budgeter"
+	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/connector"
+	"pimentorail.example/pimentorail/internal/placer"
+	"pimentorail.example/pimentorail/internal/recorder"
+	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/pkg/classifier"
+)
+
+const (
+	// defaultPatience bounds requests whose client and route name no end.
+	defaultPatience = 30 * time.Second
+	// spread widens the time to come back by up to this part, so that refused
+	// clients don't return together.
+	spread = 0.5
+)
+
+// Options are the settings of a Forwarder.
+type Options struct {
+	Zone string
+	// StorePatience bounds the reads and writes before a turn runs.
+	StorePatience time.Duration
+	// ComeBack is when a refused client should come back, at least.
+	ComeBack time.Duration
+}
+
+// Parts are what a Forwarder works with.
+type Parts struct {
+	Catalog  *cataloger.Keeper
+	Replicas *tracker.Tracker
+	Turns    *archivist.Archivist
+	Budgets  *budgeter.Budgeter
+	Recorder *recorder.Recorder
+	Scope    tally.Scope
+	Wire     Wire
+}
+
+// Forwarder serves requests.
+type Forwarder struct {
+	options  Options
+	catalog  *cataloger.Keeper
+	replicas *replicas
+	turns    *archivist.Archivist
+	budgets  *budgeter.Budgeter
+	recorder *recorder.Recorder
+	wire     Wire
+	conns    *connector.Connector
+	meter    *meter
+	active   atomic.Int64
+}
+
+// New returns a forwarder.
+func New(p Parts, o Options) *Forwarder {
+	return &Forwarder{
+		options: o, catalog: p.Catalog, replicas: newReplicas(p.Replicas, o.Zone), turns: p.Turns, budgets: p.Budgets,
+		recorder: p.Recorder, wire: p.Wire, conns: connector.New(), meter: newMeter(p.Scope),
+	}
+}
+
+// Active returns the number of requests under way.
+func (f *Forwarder) Active() int { return int(f.active.Load()) }
+
+// Connections returns what the connector did so far.
+func (f *Forwarder) Connections() connector.Counts { return f.conns.Counts() }
+
+// Trim frees what is no longer needed; call it now and then.
+func (f *Forwarder) Trim() {
+	f.conns.Trim(time.Now())
+	f.replicas.trim()
+}
+
+// Close drops idle connections.
+func (f *Forwarder) Close() { f.conns.Close() }
+
+// job is one request under way.
+type job struct {
+	request *Request
+	route   *cataloger.Route
+	service *cataloger.Service
+	version uint64
+	turn    *turn
+	// deadline is when the client or the route stops waiting.
+	deadline time.Time
+	// end is when the request's patience is over by the client's word, zero for never.
+	end   time.Time
+	work  placer.Work
+	tried map[string]bool
+	// ran counts the replicas that may have run the request.
+	ran      int
+	attempts int
+	// passed says that a part of the answer went to the client.
+	passed bool
+	first  time.Duration
+	cause  error
+}
+
+// Serve carries one request. An answer that broke off panics with
+// http.ErrAbortHandler, which closes the client's connection.
+func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	j, fault := f.open(q)
+	if fault != nil {
+		f.Refuse(w, q, fault)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	j.turn, fault = f.prepare(ctx, q, j.route)
+	if fault != nil {
+		f.Refuse(w, q, fault)
+		return
+	}
+	defer f.finish(j.turn)
+	f.plan(j)
+	fault = f.attempt(ctx, w, j)
+	f.log(j, fault)
+	switch {
+	case fault == nil:
+	case j.passed:
+		panic(http.ErrAbortHandler)
+	default:
+		f.answer(w, fault)
+	}
+}
+
+// open finds the route of a request and its deadline.
+func (f *Forwarder) open(q *Request) (*job, *classifier.Fault) {
+	c := f.catalog.Current()
+	if c == nil {
+		return nil, classifier.New(classifier.ConfigUnsure, classifier.RanNo, "no configuration is known yet").After(f.comeBack())
+	}
+	r := c.Match(q.Name, q.Path)
+	if r == nil {
+		return nil, classifier.New(classifier.NoSuchRoute, classifier.RanNo, "version %d has no route for host %q and path %q", c.Version(), q.Name, q.Path)
+	}
+	s := c.Service(r.Service(q.ID))
+	if s == nil {
+		return nil, classifier.New(classifier.TargetAway, classifier.RanNo, "version %d names no service for route %q", c.Version(), r.Name).After(f.comeBack())
+	}
+	j := &job{request: q, route: r, service: s, version: c.Version(), tried: map[string]bool{}}
+	wait := defaultPatience
+	if q.Patience > 0 {
+		wait, j.end = q.Patience, q.Arrived.Add(q.Patience)
+	}
+	if r.Timeout > 0 {
+		wait = min(wait, r.Timeout)
+	}
+	j.deadline = q.Arrived.Add(wait)
+	return j, nil
+}
+
+// plan works out what the request asks of a replica.
+func (f *Forwarder) plan(j *job) {
+	q := j.request
+	j.work = placer.Work{
+		Parts: q.Parts, Prompt: q.PromptTokens, Output: q.MaxTokens, Model: j.service.Model, Object: q.Object, Bytes: len(q.Body),
+	}
+	for _, b := range j.turn.body() {
+		j.work.Bytes += len(b)
+	}
+}
+
+// comeBack returns a time to come back, spread over clients.
+func (f *Forwarder) comeBack() time.Duration {
+	return f.options.ComeBack + time.Duration(spread*rand.Float64()*float64(f.options.ComeBack))
+}
+
+func (f *Forwarder) storeAway(err error, what string) *classifier.Fault {
+	return classifier.New(classifier.StoreAway, classifier.RanNo, "%s: %v", what, err).After(f.comeBack())
+}
+
+// Refuse answers a request that was not placed.
+func (f *Forwarder) Refuse(w http.ResponseWriter, q *Request, fault *classifier.Fault) {
+	f.recorder.Event("forwarder", "refused").Str("id", q.ID).Str("program", q.Program).Int("code", int(fault.Code)).
+		Str("why", fault.Message).Dur("after", time.Since(q.Arrived)).Uint("version", f.catalog.Current().Version()).End()
+	f.meter.refused(fault.Code)
+	f.answer(w, fault)
+}
+
+// answer writes a fault as the whole answer.
+func (f *Forwarder) answer(w http.ResponseWriter, fault *classifier.Fault) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if after := fault.RetryAfter(); after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	w.WriteHeader(fault.Code.Status())
+	// The client may be gone; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(fault)
+}
+
+// log writes the outcome of a request that was placed.
+func (f *Forwarder) log(j *job, fault *classifier.Fault) {
+	l := f.recorder.Event("forwarder", "done").Str("id", j.request.ID).Str("program", j.request.Program).
+		Str("route", j.route.Name).Uint("version", j.version).Int("attempts", j.attempts).Int("ran", j.ran).
+		Dur("first", j.first).Dur("took", time.Since(j.request.Arrived)).Bool("passed", j.passed)
+	if j.turn != nil {
+		l.Int("tokens", j.turn.tokens)
+	}
+	if fault != nil {
+		l.Int("code", int(fault.Code)).Str("why", fault.Message)
+		f.meter.refused(fault.Code)
+	}
+	l.End()
+	f.meter.done(j.route.Kind, j.first, time.Since(j.request.Arrived))
+}
--- /dev/null
+++ b/internal/server/options.go
@@ -0,0 +1,43 @@
+package server
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/forwarder"
+	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/tracker"
+)
+
+// Options are the settings of a Daemon.
+type Options struct {
+	// Name names this process in logs and rows; each start has another name.
+	Name string
+	Zone string
+	// Front, Ready and Metrics are host:port; Metrics may be empty.
+	Front, Ready, Metrics string
+	// ReadyPath is where readiness is asked.
+	ReadyPath string
+	// Grace is the time that a planned stop may take.
+	Grace       time.Duration
+	RowBytes    int
+	MemoryBytes int64
+	Output      io.Writer
+}
+
+// Platform is what a Daemon needs of the platform, in the product's terms.
+type Platform struct {
+	Table storer.Table
+	Feed  storer.Feed
+	Wire  forwarder.Wire
+	// CatalogTable holds the configuration in its row CatalogKey.
+	CatalogTable, CatalogKey string
+	DecodeCatalog            func(value []byte) (*cataloger.Catalog, error)
+	// ReplicaTable holds a row for each replica.
+	ReplicaTable  string
+	DecodeReplica func(id string, value []byte) (*tracker.Replica, error)
+	// Ingress returns the handler of clients' requests.
+	Ingress func(f *forwarder.Forwarder, k *cataloger.Keeper) http.Handler
+}
--- a/internal/storer/errors.go
+++ b/internal/storer/errors.go
@@ -10,3 +10,9 @@
 
 // ErrUnavailable says that the service did not answer; a write may have taken effect.
 var ErrUnavailable = errors.New("storer: service does not answer")
+
+// ErrHistory says that the changes asked for are no longer kept; list the table again.
+var ErrHistory = errors.New("storer: history is not available")
+
+// ErrRefused says that the service refused the request and did nothing.
+var ErrRefused = errors.New("storer: request refused")
--- /dev/null
+++ b/internal/storer/feed.go
@@ -0,0 +1,21 @@
+package storer
+
+import (
+	"context"
+	"time"
+)
+
+// Change is a row that was written or removed.
+type Change struct {
+	Row
+	Removed bool
+}
+
+// Feed tells what changes in the tables of the table service.
+type Feed interface {
+	// List returns the rows of a table's unnamed part and the version they are as of.
+	List(ctx context.Context, table string) ([]Row, uint64, error)
+	// Changes returns what changed in a table after a version, waiting up to
+	// wait for something, and the version to go on from. ErrHistory means list again.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
--- a/pkg/classifier/code.go
+++ b/pkg/classifier/code.go
@@ -21,6 +21,8 @@
 	ProgramExists    Code = 1009
 	NoSuchCall       Code = 1010
 	NotAllowed       Code = 1011
+	NoSuchTurn       Code = 1012
+	NoSuchRoute      Code = 1013
 	BudgetExhausted  Code = 2001
 	ShareExhausted   Code = 2002
 	Overloaded       Code = 2003
@@ -63,6 +65,8 @@
 	ProgramExists:    {"program-exists", http.StatusConflict, "The program exists with other settings."},
 	NoSuchCall:       {"no-such-call", http.StatusNotFound, "The program has no call of that number."},
 	NotAllowed:       {"not-allowed", http.StatusForbidden, "The account may not reach that target."},
+	NoSuchTurn:       {"no-such-turn", http.StatusNotFound, "The turn that the request continues is not kept."},
+	NoSuchRoute:      {"no-such-route", http.StatusNotFound, "No route is declared for the host and the path."},
 	BudgetExhausted:  {"budget-exhausted", http.StatusPaymentRequired, "The rest of the program's budget does not cover the call."},
 	ShareExhausted:   {"share-exhausted", http.StatusTooManyRequests, "The account uses its whole share."},
 	Overloaded:       {"overloaded", http.StatusServiceUnavailable, "The call cannot start before its deadline."},
