relayer,storer,budgeter: reach the store through peers, fail fast while it is away

Ruled out: telling these clients to come back at once (half of their time is gone by then); answering ready and holding (a refused request must not wait).

Change: storer.Guard judges the store by all calls, refuses at once while it is away and gives up a lost answer after eight times the usual time. relayer keeps member rows of a zone and sends calls through a peer that reaches the store. A conflict brings the current rows, which saves the read after it.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -175,6 +175,9 @@
 	}
 	if errors.Is(err, storer.ErrConflict) {
 		b.conflicts.Add(1)
+		if found := b.adopt(p, err); found {
+			return err
+		}
 		if err := b.load(ctx, p); err != nil {
 			return err
 		}
@@ -189,6 +192,26 @@
 	return err
 }
 
+// adopt takes the current row that a conflict brings.
+func (b *Budgeter) adopt(p *program, err error) bool {
+	var c *storer.Conflict
+	if !errors.As(err, &c) {
+		return false
+	}
+	for _, r := range c.Rows() {
+		if r.Key != key(p.name) {
+			continue
+		}
+		state, err := decode(r.Value)
+		if err != nil {
+			return false
+		}
+		p.row, p.version = state, r.Version
+		return true
+	}
+	return false
+}
+
 func (b *Budgeter) load(ctx context.Context, p *program) error {
 	r, err := b.table.Get(ctx, key(p.name))
 	if err != nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -36,6 +36,8 @@
 	StorePatience time.Duration
 	// ComeBack is when a refused client should come back, at least.
 	ComeBack time.Duration
+	// OutageComeBack is the same while the store is away.
+	OutageComeBack time.Duration
 }
 
 // Parts are what a Forwarder works with.
@@ -176,12 +178,14 @@
 }
 
 // comeBack returns a time to come back, spread over clients.
-func (f *Forwarder) comeBack() time.Duration {
-	return f.options.ComeBack + time.Duration(spread*rand.Float64()*float64(f.options.ComeBack))
+func (f *Forwarder) comeBack() time.Duration { return spreadOver(f.options.ComeBack) }
+
+func spreadOver(d time.Duration) time.Duration {
+	return d + time.Duration(spread*rand.Float64()*float64(d))
 }
 
 func (f *Forwarder) storeAway(err error, what string) *classifier.Fault {
-	return classifier.New(classifier.StoreAway, classifier.RanNo, "%s: %v", what, err).After(f.comeBack())
+	return classifier.New(classifier.StoreAway, classifier.RanNo, "%s: %v", what, err).After(spreadOver(f.options.OutageComeBack))
 }
 
 // Refuse answers a request that was not placed.
--- /dev/null
+++ b/internal/relayer/members.go
@@ -0,0 +1,108 @@
+package relayer
+
+import (
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"pimentorail.example/pimentorail/internal/storer"
+)
+
+// member is the row of one daemon.
+type member struct {
+	// Address is where peers reach it, as host:port.
+	Address string `json:"address"`
+}
+
+// members are the peers of one availability zone.
+type members struct {
+	me string
+
+	mu    sync.Mutex
+	peers map[string]peer
+}
+
+// peer is another daemon with what is known of it.
+type peer struct {
+	address string
+	// renewed is when its row was last seen to change.
+	renewed time.Time
+	// avoid is until when it is not asked, after a failure.
+	avoid time.Time
+}
+
+func newMembers(me string) *members { return &members{me: me, peers: map[string]peer{}} }
+
+func nameOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
+
+// Replace implements follower.Sink.
+func (m *members) Replace(rows []storer.Row, _ uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.peers
+	m.peers = map[string]peer{}
+	for _, r := range rows {
+		m.take(r, old)
+	}
+}
+
+// Update implements follower.Sink.
+func (m *members) Update(changes []storer.Change, _ uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range changes {
+		if c.Removed {
+			delete(m.peers, nameOf(c.Key))
+			continue
+		}
+		m.take(c.Row, m.peers)
+	}
+}
+
+// Lost implements follower.Sink; peers stay known.
+func (m *members) Lost(error) {}
+
+// Regained implements follower.Sink.
+func (m *members) Regained() {}
+
+func (m *members) take(r storer.Row, old map[string]peer) {
+	var x member
+	name := nameOf(r.Key)
+	if name == m.me || json.Unmarshal(r.Value, &x) != nil || x.Address == "" {
+		return // A row that can't be read names no peer.
+	}
+	p := old[name]
+	m.peers[name] = peer{address: x.Address, renewed: time.Now(), avoid: p.avoid}
+}
+
+// usable returns the addresses of peers that may be asked.
+func (m *members) usable(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []string
+	for _, p := range m.peers {
+		if now.After(p.avoid) {
+			list = append(list, p.address)
+		}
+	}
+	return list
+}
+
+func (m *members) failed(address string, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, p := range m.peers {
+		if p.address == address {
+			p.avoid = until
+			m.peers[name] = p
+		}
+	}
+}
+
+// count returns the number of daemons of the zone, this one included.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) + 1
+}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -22,12 +22,12 @@
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/forwarder"
 	"pimentorail.example/pimentorail/internal/recorder"
+	"pimentorail.example/pimentorail/internal/relayer"
+	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
 const (
-	// followers is the number of tables that are followed.
-	followers = 2
 	// catalogWait is how long the store holds a request for a new configuration.
 	catalogWait = time.Second
 	// followPatience is how late an answer may be before the connection is given up.
@@ -38,12 +38,23 @@
 	registryPeriod = 500 * time.Millisecond
 	// returnGrace is how long rows that lapsed in an outage are waited for after it.
 	returnGrace = 2200 * time.Millisecond
+	// guardProbe is the time between two tries to reach a store that is away.
+	guardProbe = 250 * time.Millisecond
+	// guardSilence is how long all calls must fail before the store counts as away.
+	guardSilence = 300 * time.Millisecond
+	// guardLeast and guardMost bound the patience with one call; the store may be
+	// sixty times slower than usual.
+	guardLeast = 100 * time.Millisecond
+	guardMost  = 1300 * time.Millisecond
+	guardPause = 25 * time.Millisecond
 	// unreadyAfter is the outage after which clients should go to other daemons.
 	unreadyAfter = 1500 * time.Millisecond
 	// storePatience bounds the reads and writes of a turn before it runs.
 	storePatience = 1200 * time.Millisecond
 	// comeBack is when refused clients should come back at least.
 	comeBack = 250 * time.Millisecond
+	// outageComeBack is the same while the store is away; outages last seconds.
+	outageComeBack = time.Second
 	// linger is how long a stopping daemon takes new requests, while the balancer notices.
 	linger = 3500 * time.Millisecond
 	// stopMargin is the part of the grace time that is left unused.
@@ -53,8 +64,13 @@
 	idleTimeout   = 60 * time.Second
 	headerBytes   = 64 << 10
 	trimPeriod    = time.Second
+	// countsEvery is the number of trim periods between two lines with all counts.
+	countsEvery = 10
 	// silentClient ends connections of clients that do not acknowledge bytes.
 	silentClient = 8 * time.Second
+	// silentPeer and peerDialTimeout bound silent daemons.
+	silentPeer      = time.Second
+	peerDialTimeout = 500 * time.Millisecond
 	// turnsShare is the part of the memory for histories, as its inverse.
 	turnsShare = 12
 )
@@ -68,6 +84,8 @@
 	catalog   *cataloger.Keeper
 	tracker   *tracker.Tracker
 	link      *link
+	store     *storer.Guard
+	relayer   *relayer.Relayer
 	turns     *archivist.Archivist
 	budgets   *budgeter.Budgeter
 	forwarder *forwarder.Forwarder
@@ -101,12 +119,18 @@
 	d.recorder = recorder.Start(life, o.Output)
 	d.link = newLink(d.recorder)
 	d.tracker = tracker.New(tracker.Options{ReturnGrace: returnGrace})
-	d.turns = archivist.New(p.Table, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsShare)})
-	d.budgets = budgeter.Start(life, p.Table, o.Name)
+	d.store = storer.NewGuard(p.Table, p.Feed, storer.Limits{
+		Least: guardLeast, Most: guardMost, Silence: guardSilence, Probe: guardProbe, Pause: guardPause,
+	})
+	d.relayer = relayer.Start(life, d.store, d.recorder, relayer.Options{
+		Name: o.Node, Zone: o.Zone, Address: o.Peers, Dial: dialPeer, Listen: listen,
+	})
+	d.turns = archivist.New(d.relayer, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsShare)})
+	d.budgets = budgeter.Start(life, d.relayer, o.Name)
 	d.forwarder = forwarder.New(forwarder.Parts{
 		Catalog: d.catalog, Replicas: d.tracker, Turns: d.turns, Budgets: d.budgets,
 		Recorder: d.recorder, Scope: d.metrics.scope, Wire: p.Wire,
-	}, forwarder.Options{Zone: o.Zone, StorePatience: storePatience, ComeBack: comeBack})
+	}, forwarder.Options{Zone: o.Zone, StorePatience: storePatience, ComeBack: comeBack, OutageComeBack: outageComeBack})
 	return d
 }
 
@@ -114,10 +138,10 @@
 	d.tomb, _ = tomb.WithContext(life)
 	ctx := d.tomb.Context(nil)
 	d.recorder.Event("server", "start").Str("name", d.options.Name).Str("zone", d.options.Zone).Str("front", d.options.Front).End()
-	follower.Start(ctx, d.platform.Feed, &catalogs{
+	follower.Start(ctx, d.relayer, &catalogs{
 		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, recorder: d.recorder, link: d.link,
 	}, follower.Options{Table: d.platform.CatalogTable, Wait: catalogWait, Pause: catalogPause, Patience: followPatience})
-	follower.Start(ctx, d.platform.Feed, &registry{
+	follower.Start(ctx, d.relayer, &registry{
 		tracker: d.tracker, decode: d.platform.DecodeReplica, recorder: d.recorder, link: d.link,
 	}, follower.Options{Table: d.platform.ReplicaTable, Pause: registryPeriod, Patience: followPatience})
 	d.front = d.newServer(d.whileServing(d.platform.Ingress(d.forwarder, d.catalog)))
@@ -158,20 +182,36 @@
 }
 
 func (d *Daemon) serve(s *http.Server, address string) error {
-	c := net.ListenConfig{KeepAlive: -1, Control: boundSilence}
-	l, err := c.Listen(context.Background(), "tcp", address)
+	l, err := listen(address)
 	if err != nil {
-		return errors.Wrapf(err, "listen on %s", address)
+		return err
 	}
 	a := &accepting{server: s, listener: l}
 	d.tomb.Go(a.run)
 	return nil
 }
 
-func boundSilence(_, _ string, raw syscall.RawConn) error {
+// listen accepts connections that end when their peer falls silent.
+func listen(address string) (net.Listener, error) {
+	c := net.ListenConfig{KeepAlive: -1, Control: boundSilence}
+	l, err := c.Listen(context.Background(), "tcp", address)
+	return l, errors.Wrapf(err, "listen on %s", address)
+}
+
+// dialPeer connects to another daemon.
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1, Control: boundPeerSilence}
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func boundPeerSilence(_, _ string, raw syscall.RawConn) error { return userTimeout(raw, silentPeer) }
+
+func boundSilence(_, _ string, raw syscall.RawConn) error { return userTimeout(raw, silentClient) }
+
+func userTimeout(raw syscall.RawConn, most time.Duration) error {
 	var err error
 	outer := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentClient.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(most.Milliseconds()))
 	})
 	if outer != nil {
 		return outer
@@ -201,22 +241,41 @@
 
 // isReady says whether new clients should come here.
 func (d *Daemon) isReady() bool {
-	return !d.stopping.Load() && d.catalog.Current() != nil && d.tracker.Len() > 0 && d.link.away() < unreadyAfter
+	return !d.stopping.Load() && d.catalog.Current() != nil && d.tracker.Len() > 0 && (d.store.Away() < unreadyAfter || d.relayer.Reaches())
 }
 
 // run frees what is no longer needed and updates the gauges.
 func (d *Daemon) run() error {
-	for {
+	for round := 1; ; round++ {
 		select {
 		case <-time.After(trimPeriod):
 			d.forwarder.Trim()
 			d.metrics.update(d)
+			if round%countsEvery == 0 {
+				d.logCounts()
+			}
 		case <-d.tomb.Dying():
 			return nil
 		}
 	}
 }
 
+// logCounts writes what was done since the start.
+func (d *Daemon) logCounts() {
+	s, c := d.store.Counts(), d.forwarder.Connections()
+	hits, misses, repeats := d.turns.Counts()
+	writes, conflicts, doubts := d.budgets.Counts()
+	relayed, served := d.relayer.Counts()
+	d.recorder.Event("server", "counts").Int("active", d.forwarder.Active()).
+		Int("store-reads", int(s.Reads)).Int("store-commits", int(s.Commits)).Int("store-lists", int(s.Lists)).
+		Int("store-changes", int(s.Changes)).Int("store-refused", int(s.Refused)).
+		Int("turns-in-memory", int(hits)).Int("turns-read", int(misses)).Int("turn-repeats", int(repeats)).
+		Int("budget-writes", int(writes)).Int("budget-conflicts", int(conflicts)).Int("budget-doubts", int(doubts)).
+		Int("relayed", int(relayed)).Int("relays-served", int(served)).
+		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).
+		Int("lines-dropped", int(d.recorder.Dropped())).End()
+}
+
 // stop lets the balancer notice, finishes what is under way, and leaves.
 func (d *Daemon) stop() {
 	began := time.Now()
@@ -229,6 +288,8 @@
 	defer cancel()
 	err := d.front.Shutdown(ctx)
 	d.budgets.Settle(ctx)
+	d.relayer.Leave(ctx)
+	d.logCounts()
 	d.recorder.Event("server", "stopped").Int("active", d.forwarder.Active()).Dur("took", time.Since(began)).Err(err).End()
 	_ = d.ready.Close()
 	d.forwarder.Close()
--- a/internal/server/link.go
+++ b/internal/server/link.go
@@ -31,19 +31,3 @@
 	l.mu.Unlock()
 	l.recorder.Event("server", "store regained").Str("for", what).Dur("away", time.Since(since)).End()
 }
-
-// away returns how long the store has not answered anyone, zero while it answers.
-func (l *link) away() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.gone) < followers {
-		return 0
-	}
-	latest := time.Time{}
-	for _, t := range l.gone {
-		if t.After(latest) {
-			latest = t
-		}
-	}
-	return time.Since(latest)
-}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -34,7 +34,7 @@
 	m.scope.Gauge("requests-active").Update(float64(d.forwarder.Active()))
 	m.scope.Gauge("config-version").Update(float64(d.catalog.Current().Version()))
 	m.scope.Gauge("replicas").Update(float64(d.tracker.Len()))
-	m.scope.Gauge("store-away-seconds").Update(d.link.away().Seconds())
+	m.scope.Gauge("store-away-seconds").Update(d.store.Away().Seconds())
 	m.scope.Gauge("log-lines-dropped").Update(float64(d.recorder.Dropped()))
 	c := d.forwarder.Connections()
 	m.scope.Gauge("connections-dialed").Update(float64(c.Dialed))
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -15,9 +15,13 @@
 type Options struct {
 	// Name names this process in logs and rows; each start has another name.
 	Name string
+	// Node names the VM's place, the same over restarts.
+	Node string
 	Zone string
 	// Front, Ready and Metrics are host:port; Metrics may be empty.
 	Front, Ready, Metrics string
+	// Peers is where other daemons reach this one; empty for no relaying.
+	Peers string
 	// ReadyPath is where readiness is asked.
 	ReadyPath string
 	// Grace is the time that a planned stop may take.
--- a/internal/storer/errors.go
+++ b/internal/storer/errors.go
@@ -16,3 +16,20 @@
 
 // ErrRefused says that the service refused the request and did nothing.
 var ErrRefused = errors.New("storer: request refused")
+
+// Conflict is an ErrConflict that brings the current rows of the conditions.
+type Conflict struct {
+	rows []Row
+}
+
+// NewConflict returns a conflict with the current rows.
+func NewConflict(rows []Row) *Conflict { return &Conflict{rows: rows} }
+
+// Rows returns the current rows of the transaction's conditions; absent ones may be missing.
+func (c *Conflict) Rows() []Row { return c.rows }
+
+// Error implements error.
+func (c *Conflict) Error() string { return ErrConflict.Error() }
+
+// Unwrap returns ErrConflict.
+func (c *Conflict) Unwrap() error { return ErrConflict }
--- /dev/null
+++ b/internal/tracker/tracker_test.go
@@ -0,0 +1,99 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorail.example/pimentorail/internal/tracker"
+)
+
+const grace = 2 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func replica(id string) *tracker.Replica {
+	return &tracker.Replica{ID: id, Service: "s", Address: "10.0.0.1:80", Born: 1, Slots: 4, Sequence: 1}
+}
+
+func newTracker() *tracker.Tracker {
+	t := tracker.New(tracker.Options{ReturnGrace: grace})
+	t.Replace([]*tracker.Replica{replica("a"), replica("b")}, at(0))
+	return t
+}
+
+func TestMissingReplicas(t *testing.T) {
+	rows := []struct {
+		name  string
+		steps func(t *tracker.Tracker)
+		want  int
+	}{
+		{"gone while the store is there", func(t *tracker.Tracker) { t.Update(nil, []string{"a"}, at(1)) }, 1},
+		{"draining", func(t *tracker.Tracker) {
+			d := replica("a")
+			d.Draining, d.Sequence = true, 2
+			t.Update([]*tracker.Replica{d}, nil, at(1))
+		}, 1},
+		{"gone in an outage", func(t *tracker.Tracker) {
+			t.Lost()
+			t.Update(nil, []string{"a"}, at(1))
+			t.Expire(at(100))
+		}, 2},
+		{"just after an outage", func(t *tracker.Tracker) {
+			t.Lost()
+			t.Regained(at(10))
+			t.Replace([]*tracker.Replica{replica("b")}, at(10))
+			t.Expire(at(11))
+		}, 2},
+		{"still missing after the grace time", func(t *tracker.Tracker) {
+			t.Lost()
+			t.Regained(at(10))
+			t.Replace([]*tracker.Replica{replica("b")}, at(10))
+			t.Expire(at(12.1))
+		}, 1},
+		{"back within the grace time", func(t *tracker.Tracker) {
+			t.Lost()
+			t.Regained(at(10))
+			t.Replace([]*tracker.Replica{replica("b")}, at(10))
+			t.Update([]*tracker.Replica{replica("a")}, nil, at(11))
+			t.Expire(at(13))
+		}, 2},
+		{"lapsed in an outage whose end comes later", func(t *tracker.Tracker) {
+			t.Lost()
+			t.Replace(nil, at(1))
+			t.Regained(at(10))
+			t.Expire(at(11.9))
+		}, 2},
+		{"gone long after an outage", func(t *tracker.Tracker) {
+			t.Lost()
+			t.Regained(at(10))
+			t.Update(nil, []string{"a"}, at(20))
+		}, 1},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			k := newTracker()
+			row.steps(k)
+			is.Equal(len(k.Usable("s")), row.want)
+		})
+	}
+}
+
+func TestAnOldRowChangesNothing(t *testing.T) {
+	is := is.New(t)
+	k := newTracker()
+	reborn := replica("a")
+	reborn.Born, reborn.Sequence, reborn.Address = 2, 1, "10.0.0.2:80"
+	changes := k.Update([]*tracker.Replica{reborn}, nil, at(1))
+	is.Equal(len(changes), 1)
+	late := replica("a")
+	late.Sequence = 50
+	is.Equal(len(k.Update([]*tracker.Replica{late}, nil, at(2))), 0)
+	for _, r := range k.Usable("s") {
+		is.True(r.ID != "a" || r.Born == 2)
+	}
+}
