storer,budgeter,relayer: say at once that the store is away

Ruled out: a longer time to come back alone; clients cap it at a third of their time. Holding requests in the hope of the store's return: a refusal must be at once.

Change: ErrAway says that trying again is of no use; budgets and relays return it at once. A timeout counts as an outage only after four times the least patience, so that a slow store is not taken for one that is away.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -139,6 +139,8 @@
 		case errors.Is(err, storer.ErrConflict):
 			fresh = true
 			continue
+		case errors.Is(err, storer.ErrAway):
+			return err
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -173,3 +173,24 @@
 		_ = a.Wait()
 	})
 }
+
+// awayTable is a table whose service answers nobody.
+type awayTable struct{ storer.Table }
+
+// Commit implements storer.Table.
+func (awayTable) Commit(context.Context, storer.Transaction) (uint64, error) {
+	return 0, storer.ErrAway
+}
+
+func TestAnOutageIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		a := budgeter.Start(ctx, awayTable{emulator.NewStore()}, "a")
+		began := time.Now()
+		is.True(errors.Is(a.Reserve(ctx, "p", 1000, 100), storer.ErrAway))
+		is.Equal(time.Since(began), time.Duration(0))
+		cancel()
+		_ = a.Wait()
+	})
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -214,7 +214,7 @@
 // Get implements storer.Table.
 func (x *Relayer) Get(ctx context.Context, key string) (storer.Row, error) {
 	var row storer.Row
-	var err error = storer.ErrRefused
+	err := storer.ErrAway
 	if x.direct.Away() == 0 {
 		row, err = x.direct.Get(ctx, key)
 	}
@@ -231,7 +231,7 @@
 // Scan implements storer.Table.
 func (x *Relayer) Scan(ctx context.Context, prefix, after string, limit int) ([]storer.Row, error) {
 	var rows []storer.Row
-	var err error = storer.ErrRefused
+	err := storer.ErrAway
 	if x.direct.Away() == 0 {
 		rows, err = x.direct.Scan(ctx, prefix, after, limit)
 	}
@@ -244,7 +244,7 @@
 
 // Commit implements storer.Table. A transaction in doubt is never sent again here.
 func (x *Relayer) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
-	var err error = storer.ErrRefused
+	err := storer.ErrAway
 	if x.direct.Away() == 0 {
 		var version uint64
 		version, err = x.direct.Commit(ctx, tx)
@@ -260,7 +260,7 @@
 func (x *Relayer) List(ctx context.Context, table string) ([]storer.Row, uint64, error) {
 	var rows []storer.Row
 	var version uint64
-	var err error = storer.ErrRefused
+	err := storer.ErrAway
 	if x.direct.Away() == 0 {
 		rows, version, err = x.direct.List(ctx, table)
 	}
@@ -275,7 +275,7 @@
 func (x *Relayer) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
 	var changes []storer.Change
 	var version uint64
-	var err error = storer.ErrRefused
+	err := storer.ErrAway
 	if x.direct.Away() == 0 {
 		changes, version, err = x.direct.Changes(ctx, table, after, wait)
 	}
--- a/internal/storer/errors.go
+++ b/internal/storer/errors.go
@@ -17,6 +17,10 @@
 // ErrRefused says that the service refused the request and did nothing.
 var ErrRefused = errors.New("storer: request refused")
 
+// ErrAway is an ErrRefused that says that the service answers nobody here, so
+// that trying again at once is of no use.
+var ErrAway = errors.WithMessage(ErrRefused, "storer: service is away")
+
 // Conflict is an ErrConflict that brings the current rows of the conditions.
 type Conflict struct {
 	rows []Row
--- a/internal/storer/guard.go
+++ b/internal/storer/guard.go
@@ -24,6 +24,9 @@
 const (
 	// patienceFactor is how many times the usual time an answer may take.
 	patienceFactor = 8
+	// slowFactor is how many times the least patience a try must have had for its
+	// timeout to say that the service is away and not only slow.
+	slowFactor = 4
 	// latencyWeight is the weight of the newest answer in the usual time.
 	latencyWeight = 0.1
 )
@@ -113,21 +116,25 @@
 	if !g.failing.IsZero() && now.Sub(g.failing) > g.limits.Silence {
 		if now.Sub(g.tried) < g.limits.Probe {
 			g.refused.Add(1)
-			return 0, errors.Wrap(ErrRefused, "the service is away")
+			return 0, ErrAway
 		}
 		g.tried = now
 	}
 	return g.patience, nil
 }
 
-// leave learns from a try.
-func (g *Guard) leave(took time.Duration, err error) {
+// leave learns from a try that had a patience.
+func (g *Guard) leave(patience, took time.Duration, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.note(err)
+	late := took >= patience && errors.Is(err, ErrUnavailable)
+	if !late || patience >= min(slowFactor*g.limits.Least, g.limits.Most) {
+		g.note(err)
+	}
 	switch {
-	case errors.Is(err, ErrUnavailable):
-		g.patience = min(2*g.patience, g.limits.Most)
+	case late:
+		// Tries that ran side by side raise the patience once.
+		g.patience = max(g.patience, min(2*patience, g.limits.Most))
 	case err == nil || errors.Is(err, ErrConflict):
 		if g.usual == 0 {
 			g.usual = took
@@ -176,7 +183,7 @@
 	}
 	if ctx.Err() == nil {
 		// A caller that has left says nothing of the service.
-		g.leave(time.Since(began), err)
+		g.leave(patience, time.Since(began), err)
 	}
 	return v, err
 }
