placer,forwarder,platform: bring new prompts to one replica of a zone, use the length hint

The expected output was the most that a turn may generate, three times the usual.

Change: a prompt whose first part nobody is known to hold prefers the replica of the zone that the hash of both names, the same at all daemons; the client's hint bounds the expected output; a kilobyte to another zone counts 0.6 ms, not 1.2. A turn without a token bound reserves its whole budget. Numbers in headers that are negative count as none.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -172,6 +172,9 @@
 	j.work = placer.Work{
 		Parts: q.Parts, Prompt: q.PromptTokens, Output: q.MaxTokens, Model: j.service.Model, Object: q.Object, Bytes: len(q.Body),
 	}
+	if q.Hint > 0 {
+		j.work.Output = min(q.Hint, q.MaxTokens)
+	}
 	for _, b := range j.turn.body() {
 		j.work.Bytes += len(b)
 	}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -33,6 +33,8 @@
 	// most tokens that are generated.
 	Parts                   []placer.Part
 	PromptTokens, MaxTokens int
+	// Hint is the client's estimate of the tokens generated, zero for none.
+	Hint int
 	// Object names what the request concerns.
 	Object string
 	// Resumed is the id of the last event that the client has.
--- a/internal/forwarder/turn.go
+++ b/internal/forwarder/turn.go
@@ -43,14 +43,19 @@
 		t.chain = chain
 	}
 	if q.Budgeted && q.Program != "" {
-		err := f.budgets.Reserve(ctx, q.Program, q.Budget, q.MaxTokens)
+		tokens := q.MaxTokens
+		if tokens == 0 {
+			// A turn without a bound may generate all that there is.
+			tokens = q.Budget
+		}
+		err := f.budgets.Reserve(ctx, q.Program, q.Budget, tokens)
 		if errors.Is(err, budgeter.ErrExhausted) {
-			return nil, classifier.New(classifier.BudgetExhausted, classifier.RanNo, "the budget of program %q does not hold %d tokens more", q.Program, q.MaxTokens)
+			return nil, classifier.New(classifier.BudgetExhausted, classifier.RanNo, "the budget of program %q does not hold %d tokens more", q.Program, tokens)
 		}
 		if err != nil {
 			return nil, f.storeAway(err, "budget")
 		}
-		t.reserved = q.MaxTokens
+		t.reserved = tokens
 	}
 	return t, nil
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Costs are the figures by which times are expected, in milliseconds.
 type Costs struct {
@@ -19,16 +23,45 @@
 // DefaultCosts are rough figures of a large model's engine; only their
 // proportions matter, since all replicas of a service are ranked by the same.
 var DefaultCosts = Costs{
-	Prefill: 1.0 / 256, Token: 0.95, Call: 15, Crowd: 40, Away: 1.2, Hop: 2.8, Strange: 2,
+	Prefill: 1.0 / 256, Token: 0.95, Call: 15, Crowd: 40, Away: 0.6, Hop: 2.8, Strange: 2,
+}
+
+// home returns the view to which all daemons of a zone bring a prompt whose first
+// part none of them is known to hold, so that it is read once and not everywhere.
+func home(views []*View, w Work) *View {
+	if len(w.Parts) == 0 {
+		return nil
+	}
+	seed := xxhash.Sum64String(w.Parts[0].ID)
+	var best *View
+	var most uint64
+	for _, v := range views {
+		if !v.Local {
+			continue
+		}
+		// The multiplication mixes the bits of the two hashes.
+		if h := (seed ^ v.hash()) * 0x9e3779b97f4a7c15; best == nil || h > most {
+			best, most = v, h
+		}
+	}
+	return best
 }
 
 // Expected returns the expected time of the work at a replica, in milliseconds.
 func (c Costs) Expected(v *View, w Work, now time.Duration) float64 {
+	return c.expected(v, w, now, false)
+}
+
+func (c Costs) expected(v *View, w Work, now time.Duration, home bool) float64 {
 	busy, slots := v.Busy(now), float64(max(1, v.Slots))
 	service := c.Call
 	if w.Model {
 		service = float64(w.Output) * c.Token
-		service += float64(max(0, w.Prompt-v.Cached(w.Parts))) * c.Prefill
+		cached := v.Cached(w.Parts)
+		if cached == 0 && home {
+			cached = w.Parts[0].Tokens / 2
+		}
+		service += float64(max(0, w.Prompt-cached)) * c.Prefill
 		service += c.Crowd * min(busy, slots) / slots
 	}
 	slow := v.Slowness(now)
@@ -59,13 +92,13 @@
 	if len(views) == 0 {
 		return best
 	}
-	first := tie(len(views))
+	first, at := tie(len(views)), home(views, w)
 	for k := range views {
 		i := (first + k) % len(views)
 		if views[i].Avoided(now) != avoided {
 			continue
 		}
-		if t := c.Expected(views[i], w, now); best < 0 || t < least {
+		if t := c.expected(views[i], w, now, views[i] == at); best < 0 || t < least {
 			best, least = i, t
 		}
 	}
--- a/internal/placer/view.go
+++ b/internal/placer/view.go
@@ -1,6 +1,10 @@
 package placer
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// loadMemory is the time in which a told load loses its weight.
@@ -33,6 +37,16 @@
 
 	failures int
 	avoid    time.Duration
+
+	hashed uint64
+}
+
+// hash returns a number that all daemons have for the replica.
+func (v *View) hash() uint64 {
+	if v.hashed == 0 {
+		v.hashed = xxhash.Sum64String(v.ID)
+	}
+	return v.hashed
 }
 
 // held is a part of a prompt that a replica is believed to hold.
