--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -167,10 +167,14 @@
 }
 
 // put keeps a connection for the next exchange, or closes it.
-func (c *Connector) put(instance string, x *conn, keep bool) {
+func (c *Connector) put(instance string, x *conn, limit int, keep bool) {
+	most := maxIdle
+	if limit > 0 {
+		most = min(maxIdle, limit)
+	}
 	c.mu.Lock()
 	p := c.pools[instance]
-	if keep && p != nil && len(p.idle) < maxIdle {
+	if keep && p != nil && len(p.idle) < most {
 		x.used = time.Now()
 		p.idle = append(p.idle, x)
 		c.mu.Unlock()
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -29,6 +29,7 @@
 
 	connector *Connector
 	instance  string
+	limit     int
 	conn      *conn
 	stop      func() bool
 	// written gets the outcome of writing the request.
@@ -45,7 +46,7 @@
 		return nil, &Error{Cause: err}
 	}
 	_ = x.SetDeadline(q.Deadline)
-	e := &Exchange{connector: c, instance: q.Instance, conn: x, written: make(chan error, 1)}
+	e := &Exchange{connector: c, instance: q.Instance, limit: q.Limit, conn: x, written: make(chan error, 1)}
 	e.stop = context.AfterFunc(ctx, e.interrupt)
 	if err := ctx.Err(); err != nil {
 		e.Close()
@@ -149,7 +150,7 @@
 		e.conn.idle = idleTime(e.Response.Header.Get("Keep-Alive"))
 		keep = e.conn.idle > 0
 	}
-	e.connector.put(e.instance, e.conn, keep)
+	e.connector.put(e.instance, e.conn, e.limit, keep)
 }
 
 // sentWhole reports whether the whole request was written by now.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -94,7 +94,7 @@
 	}
 	e, err := f.conns.Do(ctx, &connector.Call{
 		Instance: c.instance, Address: c.replica.Address, Method: q.Method, Target: q.Target, Host: q.Host,
-		Header: f.wire.Outgoing(q, order), Body: body, Deadline: j.deadline, Fresh: !j.route.Repeatable(),
+		Header: f.wire.Outgoing(q, order), Body: body, Deadline: j.deadline, Limit: f.connections(j.service), Fresh: !j.route.Repeatable(),
 		Mine: func(h http.Header) bool { return f.wire.Incoming(0, h).Request == q.ID },
 	})
 	if err != nil {
@@ -121,6 +121,9 @@
 // failed classifies an exchange without an answer.
 func (f *Forwarder) failed(ctx context.Context, j *job, err error) result {
 	j.cause = err
+	if errors.Is(err, connector.ErrFull) {
+		return refused
+	}
 	var e *connector.Error
 	if errors.As(err, &e) && !e.Sent {
 		return unsent
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -27,6 +27,10 @@
 	// spread widens the time to come back by up to this part, so that refused
 	// clients don't return together.
 	spread = 0.5
+	// connectionShare is the part of a replica's connections that all daemons
+	// together use, since their number is an estimate.
+	connectionShare = 0.75
+	minConnections  = 2
 )
 
 // Options are the settings of a Forwarder.
@@ -38,6 +42,8 @@
 	ComeBack time.Duration
 	// OutageComeBack is the same while the store is away.
 	OutageComeBack time.Duration
+	// Daemons estimates how many daemons share the replicas' connections; nil is one.
+	Daemons func() int
 }
 
 // Parts are what a Forwarder works with.
@@ -180,6 +186,14 @@
 	}
 }
 
+// connections returns how many connections this daemon may have to a replica.
+func (f *Forwarder) connections(s *cataloger.Service) int {
+	if s.Connections == 0 || f.options.Daemons == nil {
+		return s.Connections
+	}
+	return max(minConnections, int(connectionShare*float64(s.Connections))/max(1, f.options.Daemons()))
+}
+
 // comeBack returns a time to come back, spread over clients.
 func (f *Forwarder) comeBack() time.Duration { return spreadOver(f.options.ComeBack) }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -20,7 +20,7 @@
 
 const (
 	// membersPeriod is the time between two reads of the member rows.
-	membersPeriod = 3 * time.Second
+	membersPeriod = 5 * time.Second
 	// membersPatience is how late their answer may be.
 	membersPatience = time.Second
 	// probePeriod is the time between two looks at a service that is away.
@@ -62,14 +62,18 @@
 	through  atomic.Bool
 }
 
-// Start returns a relayer that looks for peers until the context ends.
-func Start(ctx context.Context, direct *storer.Guard, r *recorder.Recorder, o Options) *Relayer {
-	x := &Relayer{direct: direct, options: o, members: newMembers(o.Name), service: &Service{direct: direct}, recorder: r}
-	x.tomb, _ = tomb.WithContext(ctx)
-	if o.Address != "" {
-		x.tomb.Go(x.run)
+// New returns a relayer that knows no peers.
+func New(direct *storer.Guard, r *recorder.Recorder, o Options) *Relayer {
+	return &Relayer{direct: direct, options: o, members: newMembers(o.Name), service: &Service{direct: direct}, recorder: r}
+}
+
+// Start looks for peers until the context ends.
+func (x *Relayer) Start(ctx context.Context) {
+	if x.options.Address == "" {
+		return
 	}
-	return x
+	x.tomb, _ = tomb.WithContext(ctx)
+	x.tomb.Go(x.run)
 }
 
 // Counts returns the calls that went through peers and those served for them.
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -29,13 +29,13 @@
 
 const (
 	// catalogWait is how long the store holds a request for a new configuration.
-	catalogWait = time.Second
+	catalogWait = 1400 * time.Millisecond
 	// followPatience is how late an answer may be before the connection is given up.
 	followPatience = 900 * time.Millisecond
 	// catalogPause is the time between two tries to reach the store.
 	catalogPause = 150 * time.Millisecond
 	// registryPeriod is the time between two reads of the registry's changes.
-	registryPeriod = 500 * time.Millisecond
+	registryPeriod = 700 * time.Millisecond
 	// returnGrace is how long rows that lapsed in an outage are waited for after it.
 	returnGrace = 2200 * time.Millisecond
 	// guardProbe is the time between two tries to reach a store that is away.
@@ -122,7 +122,7 @@
 	d.store = storer.NewGuard(p.Table, p.Feed, storer.Limits{
 		Least: guardLeast, Most: guardMost, Silence: guardSilence, Probe: guardProbe, Pause: guardPause,
 	})
-	d.relayer = relayer.Start(life, d.store, d.recorder, relayer.Options{
+	d.relayer = relayer.New(d.store, d.recorder, relayer.Options{
 		Name: o.Node, Zone: o.Zone, Address: o.Peers, Dial: dialPeer, Listen: listen,
 	})
 	d.turns = archivist.New(d.relayer, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsShare)})
@@ -130,7 +130,9 @@
 	d.forwarder = forwarder.New(forwarder.Parts{
 		Catalog: d.catalog, Replicas: d.tracker, Turns: d.turns, Budgets: d.budgets,
 		Recorder: d.recorder, Scope: d.metrics.scope, Wire: p.Wire,
-	}, forwarder.Options{Zone: o.Zone, StorePatience: storePatience, ComeBack: comeBack, OutageComeBack: outageComeBack})
+	}, forwarder.Options{
+		Zone: o.Zone, StorePatience: storePatience, ComeBack: comeBack, OutageComeBack: outageComeBack, Daemons: d.daemons,
+	})
 	return d
 }
 
@@ -138,6 +140,7 @@
 	d.tomb, _ = tomb.WithContext(life)
 	ctx := d.tomb.Context(nil)
 	d.recorder.Event("server", "start").Str("name", d.options.Name).Str("zone", d.options.Zone).Str("front", d.options.Front).End()
+	d.relayer.Start(life)
 	follower.Start(ctx, d.relayer, &catalogs{
 		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, recorder: d.recorder, link: d.link,
 	}, follower.Options{Table: d.platform.CatalogTable, Wait: catalogWait, Pause: catalogPause, Patience: followPatience})
@@ -219,6 +222,9 @@
 	return err
 }
 
+// daemons estimates the number of daemons of the deployment; the zones have about as many each.
+func (d *Daemon) daemons() int { return d.relayer.Members() * max(1, d.options.Zones) }
+
 // whileServing asks clients to close their connections during a planned stop.
 func (d *Daemon) whileServing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -18,6 +18,8 @@
 	// Node names the VM's place, the same over restarts.
 	Node string
 	Zone string
+	// Zones is the number of availability zones.
+	Zones int
 	// Front, Ready and Metrics are host:port; Metrics may be empty.
 	Front, Ready, Metrics string
 	// Peers is where other daemons reach this one; empty for no relaying.
