--- a/internal/archivist/archivist.go
+++ b/internal/archivist/archivist.go
@@ -64,6 +64,9 @@
 	nodes []*node
 }
 
+// Len returns the number of turns.
+func (c *Chain) Len() int { return len(c.nodes) }
+
 // Texts returns what each turn added, the oldest first.
 func (c *Chain) Texts() [][]byte {
 	texts := make([][]byte, len(c.nodes))
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -128,7 +128,12 @@
 	if errors.As(err, &e) && !e.Sent {
 		return unsent
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		j.cause = errors.Wrap(err, "the client left")
+		return left
+	}
 	if ctx.Err() != nil || !time.Now().Before(j.deadline) {
+		j.cause = errors.Wrap(err, "the time is over")
 		return left
 	}
 	return broken
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -231,7 +231,7 @@
 		Str("route", j.route.Name).Uint("version", j.version).Int("attempts", j.attempts).Int("ran", j.ran).
 		Dur("first", j.first).Dur("took", time.Since(j.request.Arrived)).Bool("passed", j.passed)
 	if j.turn != nil {
-		l.Int("tokens", j.turn.tokens)
+		l.Int("tokens", j.turn.tokens).Str("parent", j.request.Parent).Int("history", j.turn.length())
 	}
 	if fault != nil {
 		l.Int("code", int(fault.Code)).Str("why", fault.Message)
--- a/internal/forwarder/turn.go
+++ b/internal/forwarder/turn.go
@@ -23,43 +23,79 @@
 	input, output []byte
 }
 
-// prepare loads the history and reserves the budget of a turn; it returns nil
-// for a request that is no turn.
+// prepare loads the history and reserves the budget of a turn, side by side; it
+// returns nil for a request that is no turn.
 func (f *Forwarder) prepare(ctx context.Context, q *Request, r *cataloger.Route) (*turn, *classifier.Fault) {
-	if r.Kind != cataloger.Streaming || !r.Retain && !q.Budgeted {
+	budgeted := q.Budgeted && q.Program != ""
+	if r.Kind != cataloger.Streaming || !r.Retain && !budgeted {
 		return nil, nil
 	}
 	t := &turn{request: q, route: r, input: q.Body}
 	ctx, cancel := context.WithTimeout(ctx, f.options.StorePatience)
 	defer cancel()
+	l := &loading{forwarder: f, request: q, done: make(chan struct{})}
+	if r.Retain && budgeted {
+		go l.run(ctx)
+	} else if r.Retain {
+		l.run(ctx)
+	}
+	var fault *classifier.Fault
+	if budgeted {
+		t.reserved, fault = f.reserve(ctx, q)
+	}
 	if r.Retain {
-		chain, err := f.turns.Chain(ctx, q.Parent)
-		if errors.Is(err, archivist.ErrNoTurn) {
-			return nil, classifier.New(classifier.NoSuchTurn, classifier.RanNo, "turn %q is not kept", q.Parent)
-		}
-		if err != nil {
-			return nil, f.storeAway(err, "history")
+		<-l.done
+		t.chain = l.chain
+		if l.fault != nil {
+			// What the history says goes first: a turn without one never runs.
+			fault = l.fault
 		}
-		t.chain = chain
 	}
-	if q.Budgeted && q.Program != "" {
-		tokens := q.MaxTokens
-		if tokens == 0 {
-			// A turn without a bound may generate all that there is.
-			tokens = q.Budget
-		}
-		err := f.budgets.Reserve(ctx, q.Program, q.Budget, tokens)
-		if errors.Is(err, budgeter.ErrExhausted) {
-			return nil, classifier.New(classifier.BudgetExhausted, classifier.RanNo, "the budget of program %q does not hold %d tokens more", q.Program, tokens)
-		}
-		if err != nil {
-			return nil, f.storeAway(err, "budget")
-		}
-		t.reserved = tokens
+	if fault != nil {
+		f.finish(t)
+		return nil, fault
 	}
 	return t, nil
 }
 
+// loading reads the history of a turn.
+type loading struct {
+	forwarder *Forwarder
+	request   *Request
+	done      chan struct{}
+	chain     *archivist.Chain
+	fault     *classifier.Fault
+}
+
+func (l *loading) run(ctx context.Context) {
+	defer close(l.done)
+	chain, err := l.forwarder.turns.Chain(ctx, l.request.Parent)
+	switch {
+	case errors.Is(err, archivist.ErrNoTurn):
+		l.fault = classifier.New(classifier.NoSuchTurn, classifier.RanNo, "turn %q is not kept", l.request.Parent)
+	case err != nil:
+		l.fault = l.forwarder.storeAway(err, "history")
+	}
+	l.chain = chain
+}
+
+// reserve sets the tokens of a turn aside and returns how many.
+func (f *Forwarder) reserve(ctx context.Context, q *Request) (int, *classifier.Fault) {
+	tokens := q.MaxTokens
+	if tokens == 0 {
+		// A turn without a bound may generate all that there is.
+		tokens = q.Budget
+	}
+	err := f.budgets.Reserve(ctx, q.Program, q.Budget, tokens)
+	switch {
+	case errors.Is(err, budgeter.ErrExhausted):
+		return 0, classifier.New(classifier.BudgetExhausted, classifier.RanNo, "the budget of program %q does not hold %d tokens more", q.Program, tokens)
+	case err != nil:
+		return 0, f.storeAway(err, "budget")
+	}
+	return tokens, nil
+}
+
 // body returns what the replica reads: the history and the new input.
 func (t *turn) body() [][]byte {
 	if t == nil || t.chain == nil {
@@ -68,6 +104,14 @@
 	return append(t.chain.Texts(), t.input)
 }
 
+// length returns the number of turns before this one.
+func (t *turn) length() int {
+	if t.chain == nil {
+		return 0
+	}
+	return t.chain.Len()
+}
+
 // took notes an event that goes to the client.
 func (t *turn) took(e event, tokens int) {
 	if t == nil || !e.counts {
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -110,7 +110,11 @@
 	d.stop()
 	cancel()
 	err := d.tomb.Wait()
+	// The recorder ends with the context; its own failure has no place to be told.
 	_ = d.recorder.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil // That is the planned stop.
+	}
 	return err
 }
 
