budgeter,archivist,relayer,server: reserve two turns with one write, spread retries

Ruled out: one transaction for turn and budget (a turn is looked up by its id alone, by programs that don't know its program, so both can't share a part); slices of many turns (another daemon would be told that the budget is spent).

Change: while at most half of a budget is held, a write reserves the next turn as well; pauses are longer and jittered. A relayer without peers tries the service itself, so that its return is noticed (found by the new test of server). The stand-in of the store is a feed too.

--- a/internal/archivist/archivist.go
+++ b/internal/archivist/archivist.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -24,9 +25,9 @@
 	// maxDepth bounds a chain, so that a damaged one ends.
 	maxDepth = 4096
 	// retryPause is the first pause before a write in doubt is repeated.
-	retryPause = 20 * time.Millisecond
+	retryPause = 30 * time.Millisecond
 	// maxRetryPause bounds the pauses.
-	maxRetryPause = 250 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
 )
 
 // ErrNoTurn says that no turn of that id is kept.
@@ -206,7 +207,7 @@
 		select {
 		case <-ctx.Done():
 			return err
-		case <-time.After(pause):
+		case <-time.After(pause/2 + rand.N(pause)):
 		}
 		pause = min(2*pause, maxRetryPause)
 		a.repeats.Add(1)
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -17,8 +18,8 @@
 var ErrExhausted = errors.New("budgeter: budget is exhausted")
 
 const (
-	retryPause    = 15 * time.Millisecond
-	maxRetryPause = 200 * time.Millisecond
+	retryPause    = 30 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
 	// settleAfter is how long after its last turn a nearly spent program is settled.
 	settleAfter = 500 * time.Millisecond
 	// settlePeriod is the time between two looks at the programs.
@@ -27,6 +28,11 @@
 	settleTimeout = 2 * time.Second
 	// forgetAfter is when an unused program leaves the memory.
 	forgetAfter = 90 * time.Second
+	// aheadTurns is the number of later turns that one write reserves, while no
+	// more than the inverse of aheadShare of the budget is held. A program of four
+	// turns at one daemon then costs two writes.
+	aheadTurns = 1
+	aheadShare = 2
 	// nearTurns is the number of turns left below which settling matters to others.
 	nearTurns = 4
 )
@@ -131,7 +137,7 @@
 			b.take(p, tokens)
 			return nil
 		}
-		err := b.write(ctx, p, want)
+		err := b.write(ctx, p, want+ahead(p.row.others(p.holder)+want, limit, tokens))
 		switch {
 		case err == nil:
 			b.take(p, tokens)
@@ -145,12 +151,21 @@
 		select {
 		case <-ctx.Done():
 			return err
-		case <-time.After(pause):
+		case <-time.After(pause/2 + rand.N(pause)):
 		}
 		pause = min(2*pause, maxRetryPause)
 	}
 }
 
+// ahead returns the tokens that are reserved for later turns with the same write,
+// as long as the program is far from its limit.
+func ahead(held, limit, tokens int) int {
+	if more := aheadTurns * tokens; held+more <= limit/aheadShare {
+		return more
+	}
+	return 0
+}
+
 func (b *Budgeter) take(p *program, tokens int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -38,6 +38,9 @@
 	machines []storer.Machine
 	earlier  []storer.Machine
 	changed  time.Time
+	// log holds all changes, and dropped the version up to which they are forgotten.
+	log     []storer.Change
+	dropped uint64
 }
 
 // NewStore returns an empty store without faults.
@@ -163,12 +166,14 @@
 }
 
 func (s *Store) apply(w storer.Write) {
+	row := storer.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.version}
+	s.log = append(s.log, storer.Change{Row: row, Removed: w.Delete})
 	if w.Delete {
 		s.rows.Delete(storer.Row{Key: w.Key})
 		return
 	}
 	s.written += len(w.Key) + len(w.Value)
-	s.rows.ReplaceOrInsert(storer.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: s.version})
+	s.rows.ReplaceOrInsert(row)
 }
 
 // Put implements storer.Objects.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -210,6 +210,10 @@
 	return r, err
 }
 
+// useDirect reports whether the service is to be tried itself; without peers it
+// always is, and the guard bounds the tries.
+func (x *Relayer) useDirect() bool { return x.direct.Away() == 0 || x.pool.Load() == nil }
+
 // away reports whether a read that failed directly should go through a peer.
 func (x *Relayer) away(err error) bool {
 	return x.direct.Away() > 0 && (errors.Is(err, storer.ErrRefused) || errors.Is(err, storer.ErrUnavailable))
@@ -219,7 +223,7 @@
 func (x *Relayer) Get(ctx context.Context, key string) (storer.Row, error) {
 	var row storer.Row
 	err := storer.ErrAway
-	if x.direct.Away() == 0 {
+	if x.useDirect() {
 		row, err = x.direct.Get(ctx, key)
 	}
 	if err == nil || !x.away(err) {
@@ -236,7 +240,7 @@
 func (x *Relayer) Scan(ctx context.Context, prefix, after string, limit int) ([]storer.Row, error) {
 	var rows []storer.Row
 	err := storer.ErrAway
-	if x.direct.Away() == 0 {
+	if x.useDirect() {
 		rows, err = x.direct.Scan(ctx, prefix, after, limit)
 	}
 	if err == nil || !x.away(err) {
@@ -249,7 +253,7 @@
 // Commit implements storer.Table. A transaction in doubt is never sent again here.
 func (x *Relayer) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
 	err := storer.ErrAway
-	if x.direct.Away() == 0 {
+	if x.useDirect() {
 		var version uint64
 		version, err = x.direct.Commit(ctx, tx)
 		if err == nil || !errors.Is(err, storer.ErrRefused) || !x.away(err) {
@@ -265,7 +269,7 @@
 	var rows []storer.Row
 	var version uint64
 	err := storer.ErrAway
-	if x.direct.Away() == 0 {
+	if x.useDirect() {
 		rows, version, err = x.direct.List(ctx, table)
 	}
 	if err == nil || !x.away(err) {
@@ -280,7 +284,7 @@
 	var changes []storer.Change
 	var version uint64
 	err := storer.ErrAway
-	if x.direct.Away() == 0 {
+	if x.useDirect() {
 		changes, version, err = x.direct.Changes(ctx, table, after, wait)
 	}
 	if err == nil || !x.away(err) {
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,244 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/emulator"
+	"pimentorail.example/pimentorail/internal/forwarder"
+	"pimentorail.example/pimentorail/internal/seeder"
+	"pimentorail.example/pimentorail/internal/server"
+	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/tracker"
+)
+
+func TestMain(m *testing.M) {
+	seeder.Prepare()
+	os.Exit(m.Run())
+}
+
+// plainWire names the headers of these tests.
+type plainWire struct{}
+
+func (plainWire) Outgoing(q *forwarder.Request, _ forwarder.Order) http.Header { return q.Header }
+
+func (plainWire) Incoming(_ int, h http.Header) forwarder.Answer {
+	return forwarder.Answer{Request: h.Get("Id"), NotRun: h.Get("Not-Run") != ""}
+}
+
+func (plainWire) Reply(h http.Header) http.Header { return h.Clone() }
+
+// replica is a service that answers with its name, once it is let.
+type replica struct {
+	*httptest.Server
+	arrived chan struct{}
+	release chan struct{}
+}
+
+func newReplica(t *testing.T, name string) *replica {
+	t.Helper()
+	r := &replica{arrived: make(chan struct{}, 16), release: make(chan struct{})}
+	r.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Path == "/slow/" {
+			r.arrived <- struct{}{}
+			<-r.release
+		}
+		w.Header().Set("Id", q.Header.Get("Id"))
+		_, _ = io.WriteString(w, name)
+	}))
+	t.Cleanup(r.Close)
+	return r
+}
+
+// daemon is a server.Daemon over a stand-in of the store.
+type daemon struct {
+	t      *testing.T
+	store  *emulator.Store
+	front  string
+	ready  string
+	cancel context.CancelFunc
+	ended  chan error
+	once   sync.Once
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func start(t *testing.T) *daemon {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &daemon{t: t, store: emulator.NewStore(), front: address(t), ready: address(t), cancel: cancel, ended: make(chan error, 1)}
+	o := server.Options{
+		Name: "d-1", Node: "d", Zone: "z", Zones: 1, Front: d.front, Ready: d.ready, ReadyPath: "/ready",
+		Grace: 3 * time.Second, RowBytes: 1000, MemoryBytes: 64 << 20, Output: io.Discard,
+	}
+	p := server.Platform{
+		Table: d.store, Feed: d.store, Wire: plainWire{}, CatalogTable: "config", CatalogKey: "all", DecodeCatalog: decodeCatalog,
+		ReplicaTable: "replicas", DecodeReplica: decodeReplica,
+		Ingress: func(f *forwarder.Forwarder, _ *cataloger.Keeper) http.Handler { return ingress{f} },
+	}
+	go d.run(ctx, o, p)
+	t.Cleanup(func() { _ = d.stop() })
+	return d
+}
+
+func (d *daemon) run(ctx context.Context, o server.Options, p server.Platform) {
+	d.ended <- server.Run(ctx, o, p)
+}
+
+// stop stops the daemon as planned and returns how it ended.
+func (d *daemon) stop() (err error) {
+	d.once.Do(func() {
+		d.cancel()
+		err = <-d.ended
+	})
+	return err
+}
+
+// decodeCatalog reads "VERSION SERVICE": everything goes to one service.
+func decodeCatalog(value []byte) (*cataloger.Catalog, error) {
+	var version uint64
+	var service string
+	if _, err := fmt.Sscan(string(value), &version, &service); err != nil {
+		return nil, err
+	}
+	r := &cataloger.Route{Host: "h", Prefix: "/", Shares: []cataloger.Share{{Service: service, Weight: 1}}, Timeout: 20 * time.Second}
+	return cataloger.New(version, []*cataloger.Route{r}, []*cataloger.Service{{Name: service}}, cataloger.Limits{}), nil
+}
+
+func decodeReplica(_ string, value []byte) (*tracker.Replica, error) {
+	var r tracker.Replica
+	err := json.Unmarshal(value, &r)
+	return &r, err
+}
+
+// ingress is the adapter of these tests.
+type ingress struct{ forwarder *forwarder.Forwarder }
+
+// ServeHTTP implements http.Handler.
+func (i ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	i.forwarder.Serve(r.Context(), w, &forwarder.Request{
+		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Name: "h", Path: r.URL.Path,
+		Header: http.Header{"Id": r.Header["Id"]}, Arrived: time.Now(), Patience: 20 * time.Second,
+	})
+}
+
+func (d *daemon) put(key, value string) {
+	d.t.Helper()
+	if _, err := d.store.Commit(context.Background(), storer.Transaction{Writes: []storer.Write{{Key: key, Value: []byte(value)}}}); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func (d *daemon) register(id, service string, r *replica) {
+	d.t.Helper()
+	row, err := json.Marshal(tracker.Replica{ID: id, Service: service, Address: strings.TrimPrefix(r.URL, "http://"), Slots: 4, Born: 1})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.put("replicas//"+id, string(row))
+}
+
+// get returns the status and the body of a request, zero if there is no answer.
+func get(url string) (int, string) {
+	req, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0, ""
+	}
+	req.Header.Set("Id", "1")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+// await asks until the answer is as wanted; the test's own time limit bounds it.
+func (d *daemon) await(url string, status int, body string) {
+	d.t.Helper()
+	for {
+		s, b := get(url)
+		if s == status && (body == "" || b == body) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond) // Between two questions to real processes' sockets.
+	}
+}
+
+func TestADaysCourse(t *testing.T) {
+	is := is.New(t)
+	d := start(t)
+	front, ready := "http://"+d.front+"/x", "http://"+d.ready+"/ready"
+	d.await(front, 503, "") // Nothing is known yet: never a 404.
+	one, two := newReplica(t, "one"), newReplica(t, "two")
+	d.register("a", "s", one)
+	d.put("config//all", "3 s")
+	d.await(ready, 200, "")
+	d.await(front, 200, "one")
+	d.put("config//all", "no configuration")
+	d.put("config//all", "2 other") // Older: it never goes back.
+	d.register("b", "s2", two)
+	d.store.DropHistory()
+	d.put("config//all", "5 s2")
+	d.await(front, 200, "two")
+	d.store.SetFaults(emulator.StoreFaults{Down: true})
+	d.await(ready, 503, "")
+	status, body := get(front) // A plain request needs no store.
+	is.Equal(status, 200)
+	is.Equal(body, "two")
+	d.store.SetFaults(emulator.StoreFaults{})
+	d.await(ready, 200, "")
+}
+
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	d := start(t)
+	r := newReplica(t, "done")
+	d.register("a", "s", r)
+	d.put("config//all", "1 s")
+	d.await("http://"+d.front+"/x", 200, "done")
+	answers := make(chan string, 1)
+	slow := &asker{url: "http://" + d.front + "/slow/", answers: answers}
+	go slow.run()
+	<-r.arrived
+	d.cancel()
+	d.await("http://"+d.ready+"/ready", 503, "") // Clients are told to go elsewhere first.
+	status, _ := get("http://" + d.front + "/x")
+	is.Equal(status, 200) // Those that still come are served.
+	close(r.release)
+	is.Equal(<-answers, "done")
+	is.NoErr(d.stop())
+}
+
+// asker makes one request.
+type asker struct {
+	url     string
+	answers chan string
+}
+
+func (a *asker) run() {
+	_, body := get(a.url)
+	a.answers <- body
+}
