--- a/Makefile
+++ b/Makefile
@@ -22,5 +22,5 @@
 	sh scripts/faults.sh
 
 lint:
-	go tool gofumpt -l cmd pkg internal
+	go tool gofumpt -l cmd pkg internal platform
 	go tool revive -set_exit_status ./...
--- a/cmd/pimentorail/main.go
+++ b/cmd/pimentorail/main.go
@@ -1,5 +1,3 @@
-// Command pimentorail runs the daemon, the operator's commands, the stand-ins
-// for the outside systems and the load tool.
 package main
 
 import (
--- a/cmd/pimentorail/operate_test.go
+++ b/cmd/pimentorail/operate_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -55,12 +54,11 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := emulator.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return a
 }
 
 // file copies the example's declarations with a replacement.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -86,12 +85,11 @@
 
 func closedPort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := emulator.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return a
 }
 
 // script answers each request with the next of a list of bodies.
--- /dev/null
+++ b/internal/emulator/address.go
@@ -0,0 +1,12 @@
+package emulator
+
+import "net"
+
+// FreeAddress returns a loopback address, host:port, at which nothing listens.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
--- a/internal/runner/daemon_test.go
+++ b/internal/runner/daemon_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -54,12 +53,11 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := emulator.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return a
 }
 
 func newBench(t *testing.T, daemons int) *bench {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -76,12 +75,11 @@
 
 func address(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := emulator.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return a
 }
 
 func start(t *testing.T) *daemon {
@@ -183,7 +181,7 @@
 		if s == status && (body == "" || b == body) {
 			return
 		}
-		time.Sleep(20 * time.Millisecond) // Between two questions to real processes' sockets.
+		<-time.After(20 * time.Millisecond)
 	}
 }
 
