--- a/internal/cataloger/route.go
+++ b/internal/cataloger/route.go
@@ -32,22 +32,11 @@
 	Kind   Kind
 	// Timeout is the longest time that a request may take, zero for none.
 	Timeout time.Duration
-	// Target is the latency within which an answer is on time.
-	Target time.Duration
-	// GapTarget is the longest pause between events that is on time.
-	GapTarget time.Duration
 	// Attempts bounds the replicas that one request is sent to.
 	Attempts int
-	// Priority is the rank of the route, zero first.
-	Priority int
 	Shares   []Share
-	// Sticky says that a replica that handled the same object lately is faster.
-	Sticky bool
-	// Resumable streams may be continued on another replica.
-	Resumable bool
-	// Retain says that turns are kept, for Retention.
-	Retain    bool
-	Retention time.Duration
+	// Retain says that turns are kept.
+	Retain bool
 }
 
 // Repeatable reports whether a request may run on a second replica after it may have run on a first.
--- a/internal/cataloger/service.go
+++ b/internal/cataloger/service.go
@@ -1,7 +1,5 @@
 package cataloger
 
-import "time"
-
 // Service is a group of equal replicas.
 type Service struct {
 	Name string
@@ -17,8 +15,6 @@
 
 // Limits bound what a client may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -176,7 +176,7 @@
 func (f *Forwarder) plan(j *job) {
 	q := j.request
 	j.work = placer.Work{
-		Parts: q.Parts, Prompt: q.PromptTokens, Output: q.MaxTokens, Model: j.service.Model, Object: q.Object, Bytes: len(q.Body),
+		Parts: q.Parts, Prompt: q.PromptTokens, Output: q.MaxTokens, Model: j.service.Model, Bytes: len(q.Body),
 	}
 	if q.Hint > 0 {
 		j.work.Output = min(q.Hint, q.MaxTokens)
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -35,8 +35,6 @@
 	PromptTokens, MaxTokens int
 	// Hint is the client's estimate of the tokens generated, zero for none.
 	Hint int
-	// Object names what the request concerns.
-	Object string
 	// Resumed is the id of the last event that the client has.
 	Resumed string
 }
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -16,14 +16,12 @@
 	Crowd float64
 	// Away is the time that one kilobyte to another zone is worth, and Hop the way there.
 	Away, Hop float64
-	// Strange is the time lost at a replica that does not remember the object.
-	Strange float64
 }
 
 // DefaultCosts are rough figures of a large model's engine; only their
 // proportions matter, since all replicas of a service are ranked by the same.
 var DefaultCosts = Costs{
-	Prefill: 1.0 / 256, Token: 0.95, Call: 15, Crowd: 40, Away: 0.6, Hop: 2.8, Strange: 2,
+	Prefill: 1.0 / 256, Token: 0.95, Call: 15, Crowd: 40, Away: 0.6, Hop: 2.8,
 }
 
 // home returns the view to which all daemons of a zone bring a prompt whose first
--- a/internal/placer/work.go
+++ b/internal/placer/work.go
@@ -17,6 +17,4 @@
 	Bytes int
 	// Model says that the work is done by a model engine.
 	Model bool
-	// Object names what the request concerns, for replicas that remember objects.
-	Object string
 }
--- a/internal/tracker/replica.go
+++ b/internal/tracker/replica.go
@@ -1,7 +1,5 @@
 package tracker
 
-import "time"
-
 // Replica is one instance of a service as its registry row describes it.
 type Replica struct {
 	ID      string
@@ -15,8 +13,6 @@
 	Sequence int64
 	// Draining replicas get no new requests.
 	Draining bool
-	// Cold is how much longer the replica is slow after its start.
-	Cold time.Duration
 }
 
 // Same reports whether two rows describe the same instance.
--- a/pkg/classifier/code.go
+++ b/pkg/classifier/code.go
@@ -23,6 +23,7 @@
 	NotAllowed       Code = 1011
 	NoSuchTurn       Code = 1012
 	NoSuchRoute      Code = 1013
+	HeaderTooLarge   Code = 1014
 	BudgetExhausted  Code = 2001
 	ShareExhausted   Code = 2002
 	Overloaded       Code = 2003
@@ -67,6 +68,7 @@
 	NotAllowed:       {"not-allowed", http.StatusForbidden, "The account may not reach that target."},
 	NoSuchTurn:       {"no-such-turn", http.StatusNotFound, "The turn that the request continues is not kept."},
 	NoSuchRoute:      {"no-such-route", http.StatusNotFound, "No route is declared for the host and the path."},
+	HeaderTooLarge:   {"header-too-large", http.StatusRequestHeaderFieldsTooLarge, "The header is larger than the limit named in the message."},
 	BudgetExhausted:  {"budget-exhausted", http.StatusPaymentRequired, "The rest of the program's budget does not cover the call."},
 	ShareExhausted:   {"share-exhausted", http.StatusTooManyRequests, "The account uses its whole share."},
 	Overloaded:       {"overloaded", http.StatusServiceUnavailable, "The call cannot start before its deadline."},
