--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -6,11 +6,9 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -52,22 +50,10 @@
 // New returns a connector without connections.
 func New() *Connector {
 	c := &Connector{pools: map[string]*pool{}}
-	c.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: control}
+	c.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: EndSilent(userTimeout)}
 	return c
 }
 
-// control bounds how long a silent peer goes unnoticed.
-func control(_, _ string, raw syscall.RawConn) error {
-	var err error
-	outer := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if outer != nil {
-		return outer
-	}
-	return err
-}
-
 // Counts returns what was done so far.
 func (c *Connector) Counts() Counts {
 	return Counts{c.dialed.Load(), c.reused.Load(), c.failed.Load(), c.foreign.Load()}
--- a/internal/recorder/line.go
+++ b/internal/recorder/line.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Line is one log line under construction; a nil Line discards what it is given.
+// Line is one log line under construction.
 type Line struct {
 	recorder *Recorder
 	text     []byte
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -7,18 +7,17 @@
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"goji.io"
 	"goji.io/pat"
-	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
 
 	"pimentorail.example/pimentorail/internal/archivist"
 	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/forwarder"
 	"pimentorail.example/pimentorail/internal/recorder"
@@ -200,32 +199,17 @@
 
 // listen accepts connections that end when their peer falls silent.
 func listen(address string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAlive: -1, Control: boundSilence}
+	c := net.ListenConfig{KeepAlive: -1, Control: connector.EndSilent(silentClient)}
 	l, err := c.Listen(context.Background(), "tcp", address)
 	return l, errors.Wrapf(err, "listen on %s", address)
 }
 
 // dialPeer connects to another daemon.
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1, Control: boundPeerSilence}
+	d := net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1, Control: connector.EndSilent(silentPeer)}
 	return d.DialContext(ctx, "tcp", address)
 }
 
-func boundPeerSilence(_, _ string, raw syscall.RawConn) error { return userTimeout(raw, silentPeer) }
-
-func boundSilence(_, _ string, raw syscall.RawConn) error { return userTimeout(raw, silentClient) }
-
-func userTimeout(raw syscall.RawConn, most time.Duration) error {
-	var err error
-	outer := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(most.Milliseconds()))
-	})
-	if outer != nil {
-		return outer
-	}
-	return err
-}
-
 // daemons estimates the number of daemons of the deployment; the zones have about as many each.
 func (d *Daemon) daemons() int { return d.relayer.Members() * max(1, d.options.Zones) }
 
