budgeter: [fix] take nothing from a row that a write in doubt may still lower

A settlement lowers this daemon's figure; its answer is lost and the write is done later. Until then the row still shows the old figure, a turn was reserved from it without a write, and the late write then freed the same tokens for another daemon.

Ruled out: reading the row again (it is as it was until the late write); settling only upwards (other daemons would be told that the budget is spent).

Change: after a doubt the row is not trusted until its version has changed, so the next reservation writes and thereby ends the doubt.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -63,6 +63,10 @@
 	// The fields below are guarded by turn.
 	row     row
 	version uint64
+	// unsure says that a write in doubt can still take effect, since the row has
+	// the version that it asked for. It may lower our figure, so nothing is taken
+	// from the row as it stands until another write has gone before it.
+	unsure bool
 
 	// The fields below are guarded by the budgeter's mutex.
 	reserved, spent int
@@ -133,7 +137,7 @@
 			fresh = true
 			continue
 		}
-		if want <= p.row.Held[p.holder] {
+		if want <= p.row.Held[p.holder] && !p.unsure {
 			b.take(p, tokens)
 			return nil
 		}
@@ -186,7 +190,7 @@
 		Writes:     []storer.Write{{Key: k, Value: value}},
 	})
 	if err == nil {
-		p.version = version
+		p.version, p.unsure = version, false
 		p.row, err = decode(value)
 		return err
 	}
@@ -202,6 +206,7 @@
 	}
 	if !errors.Is(err, storer.ErrRefused) {
 		b.doubts.Add(1)
+		p.unsure = true
 		if err := b.load(ctx, p); err == nil {
 			return storer.ErrConflict
 		}
@@ -223,7 +228,7 @@
 		if err != nil {
 			return false
 		}
-		p.row, p.version = state, r.Version
+		p.see(state, r.Version)
 		return true
 	}
 	return false
@@ -238,10 +243,19 @@
 	if err != nil {
 		return err
 	}
-	p.row, p.version = state, r.Version
+	p.see(state, r.Version)
 	return nil
 }
 
+// see takes the row as it was read. Once its version has changed, no earlier
+// write in doubt can take effect any more.
+func (p *program) see(r row, version uint64) {
+	if version != p.version {
+		p.unsure = false
+	}
+	p.row, p.version = r, version
+}
+
 // Finish returns a reservation of which some tokens were used.
 func (b *Budgeter) Finish(name string, reserved, used int) {
 	b.mu.Lock()
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,12 +28,17 @@
 // lateTable is a table whose writes may fail in doubt and take effect later.
 type lateTable struct {
 	storer.Table
+
+	// The daemons' own goroutines write too.
+	mu   sync.Mutex
 	rand *rand.Rand
 	late []storer.Transaction
 }
 
 // Commit implements storer.Table.
 func (l *lateTable) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for len(l.late) > 0 && l.rand.IntN(2) == 0 {
 		_, _ = l.Table.Commit(ctx, l.late[0])
 		l.late = l.late[1:]
@@ -84,7 +90,7 @@
 
 func newPlay(seed uint64) *play {
 	r := rand.New(rand.NewPCG(seed, 0))
-	return &play{rand: r, table: &lateTable{Table: emulator.NewStore(), rand: r}, limit: 100 + r.IntN(1400)}
+	return &play{rand: r, table: &lateTable{Table: emulator.NewStore(), rand: rand.New(rand.NewPCG(seed, 1))}, limit: 100 + r.IntN(1400)}
 }
 
 func (p *play) born() *budgeter.Budgeter {
@@ -194,3 +200,60 @@
 		_ = a.Wait()
 	})
 }
+
+// heldTable keeps writes in doubt back until they are let go.
+type heldTable struct {
+	storer.Table
+
+	mu   sync.Mutex
+	hold bool
+	kept []storer.Transaction
+}
+
+// Commit implements storer.Table.
+func (h *heldTable) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.hold {
+		h.kept = append(h.kept, tx)
+		return 0, storer.ErrUnavailable
+	}
+	return h.Table.Commit(ctx, tx)
+}
+
+// release lets the writes in doubt take effect, if their conditions hold.
+func (h *heldTable) release(ctx context.Context) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hold = false
+	for _, tx := range h.kept {
+		_, _ = h.Table.Commit(ctx, tx)
+	}
+	h.kept = nil
+}
+
+// TestALateSettlementTakesNothingBack replays what the oracle found (draw seed
+// 0xb6b15edd2): a settlement is in doubt, a turn is reserved from the row as it
+// still stands, and then the settlement takes effect and frees those tokens.
+func TestALateSettlementTakesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		table := &heldTable{Table: emulator.NewStore()}
+		a, b := budgeter.Start(ctx, table, "a"), budgeter.Start(ctx, table, "b")
+		is.NoErr(a.Reserve(ctx, "p", 1000, 600))
+		a.Finish("p", 600, 0)
+		table.mu.Lock()
+		table.hold = true
+		table.mu.Unlock()
+		time.Sleep(800 * time.Millisecond) // The settlement to zero is in doubt.
+		table.mu.Lock()
+		table.hold = false
+		table.mu.Unlock()
+		is.NoErr(a.Reserve(ctx, "p", 1000, 600))
+		table.release(ctx)
+		is.True(errors.Is(b.Reserve(ctx, "p", 1000, 600), budgeter.ErrExhausted))
+		cancel()
+		_, _ = a.Wait(), b.Wait()
+	})
+}
