server: [fix] a test whose daemon did not get its address hung

The goroutine dump has no daemon: its client talks to the replica directly. The replica, started after the daemon, had been given the address that was found free for the daemon's front, the daemon's listen failed and Run returned, and the test waited for its readiness forever.

Ruled out: a slow machine; thirty copies at once beside each other passed with the old test, 30 of 30, and the dump shows that the daemon had ended.

Change: the test's start waits until the daemon listens and takes other addresses if it ended instead. No check changed.

--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -82,7 +82,20 @@
 	return a
 }
 
+// start returns a daemon that listens. A free address may be taken by another
+// process or replica before the daemon listens there, which then ends at once;
+// another one is tried.
 func start(t *testing.T) *daemon {
+	t.Helper()
+	for {
+		if d := launch(t); d.up() {
+			t.Cleanup(func() { _ = d.stop() })
+			return d
+		}
+	}
+}
+
+func launch(t *testing.T) *daemon {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &daemon{t: t, store: emulator.NewStore(), front: address(t), ready: address(t), cancel: cancel, ended: make(chan error, 1)}
@@ -96,10 +109,24 @@
 		Ingress: func(f *forwarder.Forwarder, _ *cataloger.Keeper) http.Handler { return ingress{f} },
 	}
 	go d.run(ctx, o, p)
-	t.Cleanup(func() { _ = d.stop() })
 	return d
 }
 
+// up waits until the daemon listens; it returns false if it ended instead.
+func (d *daemon) up() bool {
+	for {
+		select {
+		case err := <-d.ended:
+			d.t.Logf("the daemon did not start: %v", err)
+			return false
+		case <-time.After(10 * time.Millisecond):
+		}
+		if status, _ := get("http://" + d.ready + "/ready"); status == http.StatusServiceUnavailable {
+			return true
+		}
+	}
+}
+
 func (d *daemon) run(ctx context.Context, o server.Options, p server.Platform) {
 	d.ended <- server.Run(ctx, o, p)
 }
