all: join what stood twice, drop state that nothing reads, do hot-path work once

Cause: a reading of the whole change. Retry pauses and their jitter stood in archivist and budgeter, the metrics' set-up in runner and server, the last part of a key in server and relayer. A replica's answer was decoded twice, the name of each candidate's instance was formatted at each choice, and a counter was looked up by a new map at each attempt. Fields that nothing reads: a connection's count, a member's renewal, a request's end (it follows from its patience), a turn's route.

Ruled out: joining the stand-ins of tests in relayer and leaser, forwarder and server; they look alike but fail in other ways. Headers that are decoded and not yet used (session, time to finish, resumed event) stay with their assertions.

Change: storer.Backoff, reporter, Row.Name, Replica.Instance; behaviour is meant to be the same.

--- a/internal/archivist/archivist.go
+++ b/internal/archivist/archivist.go
@@ -5,11 +5,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -24,10 +22,6 @@
 	maxKey = 150
 	// maxDepth bounds a chain, so that a damaged one ends.
 	maxDepth = 4096
-	// retryPause is the first pause before a write in doubt is repeated.
-	retryPause = 30 * time.Millisecond
-	// maxRetryPause bounds the pauses.
-	maxRetryPause = 400 * time.Millisecond
 )
 
 // ErrNoTurn says that no turn of that id is kept.
@@ -198,18 +192,15 @@
 	for i, v := range values {
 		tx.Writes = append(tx.Writes, storer.Write{Key: key(t.ID, i), Value: v})
 	}
-	pause := retryPause
+	var pause storer.Backoff
 	for {
 		if _, err = a.table.Commit(ctx, tx); err == nil {
 			a.cache.put(n)
 			return nil
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.Wait(ctx) {
 			return err
-		case <-time.After(pause/2 + rand.N(pause)):
 		}
-		pause = min(2*pause, maxRetryPause)
 		a.repeats.Add(1)
 	}
 }
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,8 +17,6 @@
 var ErrExhausted = errors.New("budgeter: budget is exhausted")
 
 const (
-	retryPause    = 30 * time.Millisecond
-	maxRetryPause = 400 * time.Millisecond
 	// settleAfter is how long after its last turn a nearly spent program is settled.
 	settleAfter = 500 * time.Millisecond
 	// settlePeriod is the time between two looks at the programs.
@@ -122,7 +119,7 @@
 // reserve runs with the program's turn held.
 func (b *Budgeter) reserve(ctx context.Context, p *program, limit, tokens int) error {
 	fresh := false
-	pause := retryPause
+	var pause storer.Backoff
 	for {
 		b.mu.Lock()
 		want := p.spent + p.reserved + tokens
@@ -152,12 +149,9 @@
 		case errors.Is(err, storer.ErrAway):
 			return err
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.Wait(ctx) {
 			return err
-		case <-time.After(pause/2 + rand.N(pause)):
 		}
-		pause = min(2*pause, maxRetryPause)
 	}
 }
 
@@ -196,11 +190,11 @@
 	}
 	if errors.Is(err, storer.ErrConflict) {
 		b.conflicts.Add(1)
-		if found := b.adopt(p, err); found {
+		if b.adopt(p, err) {
 			return err
 		}
-		if err := b.load(ctx, p); err != nil {
-			return err
+		if failed := b.load(ctx, p); failed != nil {
+			return failed
 		}
 		return err
 	}
--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -23,7 +23,7 @@
 	// Fresh asks for a connection that has hardly been idle.
 	Fresh bool
 	// Mine recognises the answer to this request.
-	Mine func(h http.Header) bool
+	Mine func(r *http.Response) bool
 }
 
 // size returns the length of the body in bytes.
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -14,8 +14,6 @@
 	// used is when the last exchange ended, and idle how long the replica keeps it open.
 	used time.Time
 	idle time.Duration
-	// served counts whole exchanges.
-	served int
 }
 
 // quiet reports whether an idle connection is open and has nothing to read.
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -93,10 +94,10 @@
 	}
 }
 
-// get returns an idle connection or makes one; reused tells which.
-func (c *Connector) get(ctx context.Context, q *Call) (x *conn, reused bool, err error) {
+// get returns an idle connection or makes one.
+func (c *Connector) get(ctx context.Context, q *Call) (*conn, error) {
 	now := time.Now()
-	most := defaultIdle * 100
+	most := time.Duration(math.MaxInt64)
 	if q.Fresh {
 		most = freshIdle
 	}
@@ -119,17 +120,17 @@
 	}
 	switch {
 	case full:
-		return nil, false, ErrFull
+		return nil, ErrFull
 	case x != nil:
 		c.reused.Add(1)
-		return x, true, nil
+		return x, nil
 	}
-	x, err = c.dial(ctx, q)
+	x, err := c.dial(ctx, q)
 	if err != nil {
 		c.forget(q.Instance)
-		return nil, false, err
+		return nil, err
 	}
-	return x, false, nil
+	return x, nil
 }
 
 func (c *Connector) dial(ctx context.Context, q *Call) (*conn, error) {
--- a/internal/connector/connector_test.go
+++ b/internal/connector/connector_test.go
@@ -84,7 +84,7 @@
 	return &connector.Call{
 		Instance: a, Address: a, Method: http.MethodPost, Target: "/a%2Fb/?q=%20", Host: "x.example",
 		Body: [][]byte{[]byte("one"), []byte("two")}, Deadline: time.Now().Add(3 * time.Second),
-		Mine: func(h http.Header) bool { return h.Get("Id") == id },
+		Mine: func(r *http.Response) bool { return r.Header.Get("Id") == id },
 	}
 }
 
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -41,7 +41,7 @@
 // Do sends a call and returns its answer's head; errors are of type *Error.
 // The context's end breaks the exchange off. The exchange must be closed.
 func (c *Connector) Do(ctx context.Context, q *Call) (*Exchange, error) {
-	x, _, err := c.get(ctx, q)
+	x, err := c.get(ctx, q)
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
@@ -115,7 +115,7 @@
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
-		if q.Mine == nil || q.Mine(resp.Header) {
+		if q.Mine == nil || q.Mine(resp) {
 			e.Response = resp
 			return nil
 		}
@@ -146,7 +146,6 @@
 	uninterrupted := e.stop()
 	keep := uninterrupted && e.whole && !e.Response.Close && e.conn.reader.Buffered() == 0 && e.sentWhole()
 	if keep {
-		e.conn.served++
 		e.conn.idle = idleTime(e.Response.Header.Get("Keep-Alive"))
 		keep = e.conn.idle > 0
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -81,7 +81,7 @@
 	j.cause = nil
 	q := j.request
 	order := Order{Replica: c.replica.ID, Urgency: noUrgency}
-	if !j.end.IsZero() {
+	if q.Patience > 0 {
 		order.Left = time.Until(j.deadline)
 		if order.Left <= 0 {
 			j.cause = context.DeadlineExceeded
@@ -92,16 +92,19 @@
 	if body == nil {
 		body = [][]byte{q.Body}
 	}
+	var a Answer
 	e, err := f.conns.Do(ctx, &connector.Call{
 		Instance: c.instance, Address: c.replica.Address, Method: q.Method, Target: q.Target, Host: q.Host,
 		Header: f.wire.Outgoing(q, order), Body: body, Deadline: j.deadline, Limit: f.connections(j.service), Fresh: !j.route.Repeatable(),
-		Mine: func(h http.Header) bool { return f.wire.Incoming(0, h).Request == q.ID },
+		Mine: func(r *http.Response) bool {
+			a = f.wire.Incoming(r.StatusCode, r.Header)
+			return a.Request == q.ID
+		},
 	})
 	if err != nil {
 		return f.failed(ctx, j, err)
 	}
 	defer e.Close()
-	a := f.wire.Incoming(e.Response.StatusCode, e.Response.Header)
 	if a.Loaded {
 		f.replicas.told(c, a.Load)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -103,10 +103,8 @@
 	turn    *turn
 	// deadline is when the client or the route stops waiting.
 	deadline time.Time
-	// end is when the request's patience is over by the client's word, zero for never.
-	end   time.Time
-	work  placer.Work
-	tried map[string]bool
+	work     placer.Work
+	tried    map[string]bool
 	// ran counts the replicas that may have run the request.
 	ran      int
 	attempts int
@@ -163,7 +161,7 @@
 	j := &job{request: q, route: r, service: s, version: c.Version(), tried: map[string]bool{}}
 	wait := defaultPatience
 	if q.Patience > 0 {
-		wait, j.end = q.Patience, q.Arrived.Add(q.Patience)
+		wait = q.Patience
 	}
 	if r.Timeout > 0 {
 		wait = min(wait, r.Timeout)
--- a/internal/forwarder/meter.go
+++ b/internal/forwarder/meter.go
@@ -16,6 +16,7 @@
 type meter struct {
 	scope        tally.Scope
 	first, whole [3]tally.Histogram
+	attempts     [len(resultNames)]tally.Counter
 }
 
 func newMeter(scope tally.Scope) *meter {
@@ -25,6 +26,9 @@
 		m.first[kind] = s.Histogram("first-byte", latencies)
 		m.whole[kind] = s.Histogram("whole-answer", latencies)
 	}
+	for how, name := range resultNames {
+		m.attempts[how] = scope.Tagged(map[string]string{"result": name}).Counter("attempts")
+	}
 	return m
 }
 
@@ -39,6 +43,4 @@
 	m.scope.Tagged(map[string]string{"code": strconv.Itoa(int(code))}).Counter("faults").Inc(1)
 }
 
-func (m *meter) attempt(how result) {
-	m.scope.Tagged(map[string]string{"result": how.String()}).Counter("attempts").Inc(1)
-}
+func (m *meter) attempt(how result) { m.attempts[how].Inc(1) }
--- a/internal/forwarder/replicas.go
+++ b/internal/forwarder/replicas.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -37,11 +36,6 @@
 
 func (r *replicas) now() time.Duration { return time.Since(r.start) }
 
-// instance names one life of a replica.
-func instance(r *tracker.Replica) string {
-	return fmt.Sprintf("%s/%d/%s", r.ID, r.Born, r.Address)
-}
-
 // choice is a replica that was chosen, with what decided.
 type choice struct {
 	replica  *tracker.Replica
@@ -63,7 +57,7 @@
 	views := make([]*placer.View, 0, len(usable))
 	fit := make([]*tracker.Replica, 0, len(usable))
 	for _, x := range usable {
-		key := instance(x)
+		key := x.Instance()
 		if tried[key] {
 			continue
 		}
@@ -77,7 +71,7 @@
 	v := views[i]
 	age, _ := v.Age(now)
 	c := choice{
-		replica: fit[i], instance: instance(fit[i]), view: v, candidates: len(views),
+		replica: fit[i], instance: fit[i].Instance(), view: v, candidates: len(views),
 		busy: v.Busy(now), slowness: v.Slowness(now), age: age, cached: v.Cached(w.Parts),
 	}
 	v.Begin(w, now)
--- a/internal/forwarder/turn.go
+++ b/internal/forwarder/turn.go
@@ -14,7 +14,6 @@
 // turn is what a request of a program has beside a plain request.
 type turn struct {
 	request  *Request
-	route    *cataloger.Route
 	chain    *archivist.Chain
 	reserved int
 	// tokens is the number of tokens that went to the client.
@@ -30,7 +29,7 @@
 	if r.Kind != cataloger.Streaming || !r.Retain && !budgeted {
 		return nil, nil
 	}
-	t := &turn{request: q, route: r, input: q.Body}
+	t := &turn{request: q, input: q.Body}
 	ctx, cancel := context.WithTimeout(ctx, f.options.StorePatience)
 	defer cancel()
 	l := &loading{forwarder: f, request: q, done: make(chan struct{})}
--- a/internal/placer/choose.go
+++ b/internal/placer/choose.go
@@ -45,11 +45,7 @@
 	return best
 }
 
-// Expected returns the expected time of the work at a replica, in milliseconds.
-func (c Costs) Expected(v *View, w Work, now time.Duration) float64 {
-	return c.expected(v, w, now, false)
-}
-
+// expected returns the expected time of the work at a replica, in milliseconds.
 func (c Costs) expected(v *View, w Work, now time.Duration, home bool) float64 {
 	busy, slots := v.Busy(now), float64(max(1, v.Slots))
 	service := c.Call
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,16 +25,12 @@
 // peer is another daemon with what is known of it.
 type peer struct {
 	address string
-	// renewed is when its row was last seen to change.
-	renewed time.Time
 	// avoid is until when it is not asked, after a failure.
 	avoid time.Time
 }
 
 func newMembers(me string) *members { return &members{me: me, peers: map[string]peer{}} }
 
-func nameOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
-
 // Replace implements follower.Sink.
 func (m *members) Replace(rows []storer.Row, _ uint64) {
 	m.mu.Lock()
@@ -53,7 +48,7 @@
 	defer m.mu.Unlock()
 	for _, c := range changes {
 		if c.Removed {
-			delete(m.peers, nameOf(c.Key))
+			delete(m.peers, c.Name())
 			continue
 		}
 		m.take(c.Row, m.peers)
@@ -68,12 +63,12 @@
 
 func (m *members) take(r storer.Row, old map[string]peer) {
 	var x member
-	name := nameOf(r.Key)
+	name := r.Name()
 	if name == m.me || json.Unmarshal(r.Value, &x) != nil || x.Address == "" {
 		return // A row that can't be read names no peer.
 	}
 	p := old[name]
-	m.peers[name] = peer{address: x.Address, renewed: time.Now(), avoid: p.avoid}
+	m.peers[name] = peer{address: x.Address, avoid: p.avoid}
 }
 
 // usable returns the addresses of peers that may be asked.
--- /dev/null
+++ b/internal/reporter/doc.go
@@ -0,0 +1,2 @@
+// Package reporter serves a daemon's metrics in the Prometheus form.
+package reporter
--- a/internal/runner/daemon.go
+++ b/internal/runner/daemon.go
@@ -112,7 +112,7 @@
 		Leaving: d.leaving, Routing: router.Policy(d.settings.Policies.Routing), Seed: rand.Uint64(),
 	})
 	d.listener = listener.New(listener.Options{
-		Conductor: d.conductor, Config: d.watcher, Scope: d.metrics.scope, Ready: d.ready, Metrics: d.metrics.handler(),
+		Conductor: d.conductor, Config: d.watcher, Scope: d.metrics.Scope(), Ready: d.ready, Metrics: d.metrics.Handler(),
 	})
 	d.reaper = reaper.New(reaper.Options{Engines: d.dispatcher, Addresses: d.ownedEngines, Gone: d.conductor.Gone})
 	d.controller = controller.New(controller.Options{Engines: d.dispatcher, Owned: d.declaredEngines, Owns: d.ownsEngine})
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -2,38 +2,23 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"time"
 
-	client "github.com/prometheus/client_golang/prometheus"
-	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 	"gopkg.in/tomb.v2"
+
+	"pimentorail.example/pimentorail/internal/reporter"
 )
 
 const gaugePeriod = time.Second
 
 // metrics is the daemon's metrics in the Prometheus form.
 type metrics struct {
-	scope    tally.Scope
-	closer   io.Closer
-	reporter prometheus.Reporter
-	daemon   *Daemon
-	tomb     *tomb.Tomb
-}
-
-func newMetrics() *metrics {
-	g := client.NewRegistry()
-	r := prometheus.NewReporter(prometheus.Options{Registerer: g, Gatherer: g})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix: "pimentorail", CachedReporter: r, Separator: prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
-	}, gaugePeriod)
-	return &metrics{scope: scope, closer: closer, reporter: r}
+	*reporter.Reporter
+	daemon *Daemon
+	tomb   *tomb.Tomb
 }
 
-func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+func newMetrics() *metrics { return &metrics{Reporter: reporter.New(gaugePeriod)} }
 
 // watch updates the gauges until the context ends.
 func (m *metrics) watch(ctx context.Context, d *Daemon) {
@@ -48,7 +33,7 @@
 		case <-time.After(gaugePeriod):
 			m.update()
 		case <-m.tomb.Dying():
-			return m.closer.Close()
+			return m.Close()
 		}
 	}
 }
@@ -56,17 +41,17 @@
 func (m *metrics) update() {
 	d := m.daemon
 	c := d.journal.Counts()
-	m.scope.Gauge("journal-batches").Update(float64(c.Batches))
-	m.scope.Gauge("journal-records").Update(float64(c.Records))
-	m.scope.Gauge("journal-bytes").Update(float64(c.Bytes))
-	m.scope.Gauge("rpc-calls").Update(float64(d.pool.Calls()))
-	m.scope.Gauge("partitions").Update(float64(len(d.leaser.Held())))
-	m.scope.Gauge("members").Update(float64(len(d.leaser.Members())))
-	m.scope.Gauge("config-version").Update(float64(d.watcher.Snapshot().Version()))
-	m.scope.Gauge("config-sure").Update(flag(d.watcher.Sure()))
-	m.scope.Gauge("lease-valid").Update(flag(d.leaser.Valid()))
-	m.scope.Gauge("store-away").Update(flag(d.journal.Away()))
-	m.scope.Gauge("calls-active").Update(float64(d.conductor.Active()))
+	m.Scope().Gauge("journal-batches").Update(float64(c.Batches))
+	m.Scope().Gauge("journal-records").Update(float64(c.Records))
+	m.Scope().Gauge("journal-bytes").Update(float64(c.Bytes))
+	m.Scope().Gauge("rpc-calls").Update(float64(d.pool.Calls()))
+	m.Scope().Gauge("partitions").Update(float64(len(d.leaser.Held())))
+	m.Scope().Gauge("members").Update(float64(len(d.leaser.Members())))
+	m.Scope().Gauge("config-version").Update(float64(d.watcher.Snapshot().Version()))
+	m.Scope().Gauge("config-sure").Update(flag(d.watcher.Sure()))
+	m.Scope().Gauge("lease-valid").Update(flag(d.leaser.Valid()))
+	m.Scope().Gauge("store-away").Update(flag(d.journal.Away()))
+	m.Scope().Gauge("calls-active").Update(float64(d.conductor.Active()))
 }
 
 func flag(b bool) float64 {
--- a/internal/server/catalogs.go
+++ b/internal/server/catalogs.go
@@ -1,8 +1,6 @@
 package server
 
 import (
-	"strings"
-
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/recorder"
 	"pimentorail.example/pimentorail/internal/storer"
@@ -40,7 +38,7 @@
 func (c *catalogs) Regained() { c.link.regained("configuration") }
 
 func (c *catalogs) take(r storer.Row) {
-	if !strings.HasSuffix(r.Key, "/"+c.key) {
+	if r.Name() != c.key {
 		return
 	}
 	next, err := c.decode(r.Value)
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -22,6 +22,7 @@
 	"pimentorail.example/pimentorail/internal/forwarder"
 	"pimentorail.example/pimentorail/internal/recorder"
 	"pimentorail.example/pimentorail/internal/relayer"
+	"pimentorail.example/pimentorail/internal/reporter"
 	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
@@ -79,7 +80,7 @@
 	options   Options
 	platform  Platform
 	recorder  *recorder.Recorder
-	metrics   *metrics
+	metrics   *reporter.Reporter
 	catalog   *cataloger.Keeper
 	tracker   *tracker.Tracker
 	link      *link
@@ -118,7 +119,7 @@
 }
 
 func newDaemon(life context.Context, o Options, p Platform) *Daemon {
-	d := &Daemon{options: o, platform: p, catalog: &cataloger.Keeper{}, metrics: newMetrics()}
+	d := &Daemon{options: o, platform: p, catalog: &cataloger.Keeper{}, metrics: reporter.New(reportPeriod)}
 	d.recorder = recorder.Start(life, o.Output)
 	d.link = newLink(d.recorder)
 	d.tracker = tracker.New(tracker.Options{ReturnGrace: returnGrace})
@@ -132,7 +133,7 @@
 	d.budgets = budgeter.Start(life, d.relayer, o.Name)
 	d.forwarder = forwarder.New(forwarder.Parts{
 		Catalog: d.catalog, Replicas: d.tracker, Turns: d.turns, Budgets: d.budgets,
-		Recorder: d.recorder, Scope: d.metrics.scope, Wire: p.Wire,
+		Recorder: d.recorder, Scope: d.metrics.Scope(), Wire: p.Wire,
 	}, forwarder.Options{
 		Zone: o.Zone, StorePatience: storePatience, ComeBack: comeBack, OutageComeBack: outageComeBack, Daemons: d.daemons,
 	})
@@ -159,7 +160,7 @@
 		return err
 	}
 	if d.options.Metrics != "" {
-		if err := d.serve(d.newServer(d.metrics.handler()), d.options.Metrics); err != nil {
+		if err := d.serve(d.newServer(d.metrics.Handler()), d.options.Metrics); err != nil {
 			d.recorder.Event("server", "no metrics").Err(err).End()
 		}
 	}
@@ -244,7 +245,7 @@
 		select {
 		case <-time.After(trimPeriod):
 			d.forwarder.Trim()
-			d.metrics.update(d)
+			d.updateGauges()
 			if round%countsEvery == 0 {
 				d.logCounts()
 			}
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"strings"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/recorder"
@@ -17,9 +16,6 @@
 	link     *link
 }
 
-// id returns the replica's id of a row's key.
-func id(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
-
 // Replace implements follower.Sink.
 func (g *registry) Replace(rows []storer.Row, version uint64) {
 	var list []*tracker.Replica
@@ -37,7 +33,7 @@
 	var removed []string
 	for _, c := range changes {
 		if c.Removed {
-			removed = append(removed, id(c.Key))
+			removed = append(removed, c.Name())
 		} else if x := g.read(c.Row); x != nil {
 			put = append(put, x)
 		}
@@ -60,7 +56,7 @@
 }
 
 func (g *registry) read(r storer.Row) *tracker.Replica {
-	x, err := g.decode(id(r.Key), r.Value)
+	x, err := g.decode(r.Name(), r.Value)
 	if err != nil {
 		g.recorder.Event("server", "registry row ignored").Str("key", r.Key).Uint("row-version", r.Version).Err(err).End()
 		return nil
--- a/internal/storer/table.go
+++ b/internal/storer/table.go
@@ -1,6 +1,9 @@
 package storer
 
-import "context"
+import (
+	"context"
+	"strings"
+)
 
 // Row is one row of the table service; Version is zero for an absent row.
 type Row struct {
@@ -9,6 +12,9 @@
 	Version uint64 `json:"version"`
 }
 
+// Name returns the last part of the row's key.
+func (r Row) Name() string { return r.Key[strings.LastIndexByte(r.Key, '/')+1:] }
+
 // Condition requires a row to have a version; zero requires it to be absent.
 type Condition struct {
 	Key     string `json:"key"`
--- a/internal/tracker/replica.go
+++ b/internal/tracker/replica.go
@@ -1,5 +1,7 @@
 package tracker
 
+import "fmt"
+
 // Replica is one instance of a service as its registry row describes it.
 type Replica struct {
 	ID      string
@@ -13,8 +15,13 @@
 	Sequence int64
 	// Draining replicas get no new requests.
 	Draining bool
+
+	instance string
 }
 
+// Instance names one life of a replica; it is known once a Tracker has taken the row.
+func (r *Replica) Instance() string { return r.instance }
+
 // Same reports whether two rows describe the same instance.
 func (r *Replica) Same(o *Replica) bool {
 	return r.ID == o.ID && r.Born == o.Born && r.Address == o.Address && r.Service == o.Service
@@ -27,3 +34,9 @@
 	}
 	return r.Sequence < o.Sequence
 }
+
+// name gives the replica the name of its instance.
+func (r *Replica) name() *Replica {
+	r.instance = fmt.Sprintf("%s/%d/%s", r.ID, r.Born, r.Address)
+	return r
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -136,12 +136,12 @@
 	e, ok := t.entries[r.ID]
 	switch {
 	case !ok:
-		t.entries[r.ID] = &entry{replica: r}
+		t.entries[r.ID] = &entry{replica: r.name()}
 		return append(changes, Change{r, "added"})
 	case r.Older(e.replica):
 		return changes
 	case !e.replica.Same(r):
-		t.entries[r.ID] = &entry{replica: r}
+		t.entries[r.ID] = &entry{replica: r.name()}
 		return append(changes, Change{r, "changed"})
 	case !e.doubt.IsZero():
 		e.doubt = time.Time{}
@@ -154,6 +154,7 @@
 		}
 		changes = append(changes, Change{r, what})
 	}
+	r.instance = e.replica.instance
 	e.replica = r
 	return changes
 }
