platform,server: [new] a fault soak of the real daemons, and a reload that cannot end one

`make soak SEED= MINUTES=` runs daemons as processes on loopback behind proxies (delay, hold one way, silence, reset), kills, pauses, stops and reloads them in overlapping series, and lets the store and the replicas misbehave; a ledger of what clients and replicas saw is checked all the while.

The handler of that signal was set up only after the settings were read. It is now the first thing done, and the reload's line goes through the recorder. A process can still be hit before it has begun to run our code; the soak signals daemons that have been ready, as an operator does.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build run test measure slopes stops faults lint
+.PHONY: build run test soak measure slopes stops faults lint
 
 build:
 	go build -o bin/pimentorail ./cmd/pimentorail
@@ -9,6 +9,10 @@
 test:
 	go test -race ./...
 
+# SEED and MINUTES choose the faults and how long they go on.
+soak:
+	SOAK_SEED=$(or $(SEED),1) SOAK_MINUTES=$(or $(MINUTES),1) go test -count=1 -timeout 60m -run TestSoak -v ./platform/soaker
+
 measure: build
 	sh scripts/measure.sh
 
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -164,6 +164,9 @@
 			d.recorder.Event("server", "no metrics").Err(err).End()
 		}
 	}
+	if d.options.Reload != nil {
+		d.tomb.Go((&reloader{daemon: d}).run)
+	}
 	d.tomb.Go(d.run)
 	return nil
 }
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/cataloger"
@@ -31,6 +32,9 @@
 	RowBytes    int
 	MemoryBytes int64
 	Output      io.Writer
+	// Reloads tells that the settings changed, and Reload reads them again; both may be nil.
+	Reloads <-chan os.Signal
+	Reload  func() error
 }
 
 // Platform is what a Daemon needs of the platform, in the product's terms.
--- /dev/null
+++ b/internal/server/reloader.go
@@ -0,0 +1,15 @@
+package server
+
+// reloader reads the settings again when they are said to have changed.
+type reloader struct{ daemon *Daemon }
+
+func (r *reloader) run() error {
+	for {
+		select {
+		case <-r.daemon.options.Reloads:
+			r.daemon.recorder.Event("server", "reload").Err(r.daemon.options.Reload()).End()
+		case <-r.daemon.tomb.Dying():
+			return nil
+		}
+	}
+}
