storer,relayer,platform: [fix] a start of many daemons and an outage of some partitions no longer burden the store

Change: member rows and the secret have partitions of their own, the tries to join are spread and back off to 4 s, and each failure is logged. The guard judges each partition by itself too: one whose tries have all failed for the usual silence is refused at once and tried every 250 ms.

Ruled out: more patience with the joining write; the tries in step were the load.

Tests that failed first: TestManyDaemonsJoinTogether, TestAnOutageOfOnePartition.

--- a/internal/emulator/feed.go
+++ b/internal/emulator/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"strings"
 	"time"
 
@@ -16,7 +17,7 @@
 	s.mu.Lock()
 	version := s.version
 	s.mu.Unlock()
-	rows, err := storer.All(ctx, s, table+"//")
+	rows, err := storer.All(ctx, s, storer.Prefix(table))
 	return rows, version, err
 }
 
@@ -44,9 +45,10 @@
 	if after < s.dropped {
 		return nil, 0, storer.ErrHistory
 	}
+	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > after })
 	var list []storer.Change
-	for _, c := range s.log {
-		if c.Version > after && strings.HasPrefix(c.Key, table+"//") {
+	for _, c := range s.log[first:] {
+		if strings.HasPrefix(c.Key, storer.Prefix(table)) {
 			list = append(list, c)
 		}
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -25,6 +25,8 @@
 	membersPatience = time.Second
 	// probePeriod is the time between two looks at a service that is away.
 	probePeriod = 250 * time.Millisecond
+	// joinMost is the longest pause between two tries to join, which are spread.
+	joinMost = 4 * time.Second
 	// probeTimeout bounds one look.
 	probeTimeout = time.Second
 	// avoidFor is how long a peer that failed is not asked.
@@ -35,7 +37,10 @@
 	maxPeers = 3
 	// waitMargin bounds a long poll through a peer.
 	waitMargin = 500 * time.Millisecond
-	secretKey  = "relay//secret"
+	// Keys have partitions of their own: in the unnamed one, where replicas register,
+	// the writes of many daemons that start together would wait for each other.
+	secretKey  = "relay/shared/secret"
+	membership = "peers"
 	service    = "Relay"
 )
 
@@ -51,10 +56,10 @@
 
 // Relayer is a storer.Table and a storer.Feed.
 type Relayer struct {
-	direct   *storer.Guard
-	options  Options
-	members  *members
-	service  *Service
+	direct  *storer.Guard
+	options Options
+	members *members
+	service *Service
 	recorder *recorder.Recorder
 	pool     atomic.Pointer[linker.Pool]
 	tomb     *tomb.Tomb
@@ -85,26 +90,37 @@
 // Reaches reports whether the service can be reached, by itself or through a peer.
 func (x *Relayer) Reaches() bool { return x.direct.Away() == 0 || x.through.Load() }
 
-func (x *Relayer) table() string { return "members-" + x.options.Zone }
+// table names the member rows of the zone, and key is this daemon's.
+func (x *Relayer) table() string { return "members-" + x.options.Zone + "/" + membership }
+
+func (x *Relayer) key() string { return storer.Prefix(x.table()) + x.options.Name }
 
 // run joins the members and looks at the service while it is away.
 func (x *Relayer) run() error {
 	ctx := x.tomb.Context(nil)
-	joined := false
-	for x.tomb.Alive() {
-		if !joined {
-			joined = x.join(ctx)
-		} else if x.direct.Away() > 0 {
-			x.look(ctx)
+	for pause := probePeriod; !x.join(ctx); pause = min(2*pause, joinMost) {
+		if !x.rest(pause/2 + rand.N(pause)) {
+			return nil
 		}
-		select {
-		case <-time.After(probePeriod):
-		case <-x.tomb.Dying():
+	}
+	for x.rest(probePeriod) {
+		if x.direct.Away() > 0 {
+			x.look(ctx)
 		}
 	}
 	return nil
 }
 
+// rest waits; it returns false once the relayer ends.
+func (x *Relayer) rest(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-x.tomb.Dying():
+		return false
+	}
+}
+
 // look makes a small call, so that the service's return is noticed.
 func (x *Relayer) look(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -119,6 +135,7 @@
 	defer cancel()
 	secret, err := x.secret(short)
 	if err != nil {
+		x.recorder.Event("relayer", "no secret yet").Err(err).End()
 		return false
 	}
 	if x.pool.Load() == nil {
@@ -140,8 +157,8 @@
 		x.recorder.Event("relayer", "no member row").Err(err).End()
 		return true
 	}
-	key := x.table() + "//" + x.options.Name
-	if _, err := x.direct.Commit(short, storer.Transaction{Writes: []storer.Write{{Key: key, Value: value}}}); err != nil {
+	if _, err := x.direct.Commit(short, storer.Transaction{Writes: []storer.Write{{Key: x.key(), Value: value}}}); err != nil {
+		x.recorder.Event("relayer", "no member row yet").Err(err).End()
 		return false
 	}
 	follower.Start(ctx, x, x.members, follower.Options{Table: x.table(), Pause: membersPeriod, Patience: membersPatience})
@@ -166,8 +183,7 @@
 
 // Leave removes the member row, for a planned stop.
 func (x *Relayer) Leave(ctx context.Context) {
-	key := x.table() + "//" + x.options.Name
-	if _, err := x.direct.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: key, Delete: true}}}); err != nil {
+	if _, err := x.direct.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: x.key(), Delete: true}}}); err != nil {
 		x.recorder.Event("relayer", "member row left behind").Err(err).End()
 	}
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -76,6 +78,37 @@
 	store   *emulator.Store
 	closed  atomic.Bool
 	commits atomic.Int64
+	queues  *queues
+}
+
+// commitTime is how long a partition works on one transaction.
+const commitTime = 5 * time.Millisecond
+
+// queues make the transactions of a partition wait for each other.
+type queues struct {
+	mu   sync.Mutex
+	free map[string]time.Time
+}
+
+// enter waits for the partition; the transaction is done also if its caller leaves.
+func (q *queues) enter(ctx context.Context, key string) error {
+	q.mu.Lock()
+	if q.free == nil {
+		q.free = map[string]time.Time{}
+	}
+	partition := strings.Split(key, "/")[1]
+	done := time.Now().Add(commitTime)
+	if next := q.free[partition].Add(commitTime); next.After(done) {
+		done = next
+	}
+	q.free[partition] = done
+	q.mu.Unlock()
+	select {
+	case <-time.After(time.Until(done)):
+		return nil
+	case <-ctx.Done():
+		return storer.ErrUnavailable
+	}
 }
 
 func (a *access) enter() error {
@@ -104,16 +137,21 @@
 		return 0, err
 	}
 	a.commits.Add(1)
-	return a.store.Commit(ctx, tx)
+	left := a.queues.enter(ctx, tx.Writes[0].Key)
+	version, err := a.store.Commit(context.WithoutCancel(ctx), tx)
+	if left != nil {
+		return 0, left
+	}
+	return version, err
 }
 
 func (a *access) List(ctx context.Context, table string) ([]storer.Row, uint64, error) {
-	rows, err := a.Scan(ctx, table+"//", "", 100)
+	rows, err := a.Scan(ctx, storer.Prefix(table), "", 1000)
 	return rows, 1, err
 }
 
 func (a *access) Changes(ctx context.Context, table string, after uint64, _ time.Duration) ([]storer.Change, uint64, error) {
-	rows, err := a.Scan(ctx, table+"//", "", 100)
+	rows, err := a.Scan(ctx, storer.Prefix(table), "", 1000)
 	var changes []storer.Change
 	for _, r := range rows {
 		if r.Version > after {
@@ -132,13 +170,19 @@
 }
 
 func newZone(t *testing.T) *zone {
+	t.Helper()
+	return newZoneOf(t, emulator.NewStore(), "a", "b", "c")
+}
+
+// newZoneOf starts daemons over a store, and waits until all know each other.
+func newZoneOf(t *testing.T, store *emulator.Store, names ...string) *zone {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	z := &zone{cancel: cancel}
 	n := &network{listeners: map[string]*listener{}}
-	store := emulator.NewStore()
-	for _, name := range []string{"a", "b", "c"} {
-		w := &access{store: store}
+	queues := &queues{}
+	for _, name := range names {
+		w := &access{store: store, queues: queues}
 		g := storer.NewGuard(w, w, storer.Limits{
 			Least: 100 * time.Millisecond, Most: time.Second, Silence: 300 * time.Millisecond, Probe: 200 * time.Millisecond, Pause: 20 * time.Millisecond,
 		})
@@ -210,3 +254,28 @@
 		is.True(!z.relayers[1].Reaches())
 	})
 }
+
+// TestManyDaemonsJoinTogether replays the start of a large zone, where the writes
+// of all daemons wait for each other: they must not be repeated in step, and
+// leave the partition free in which replicas register.
+func TestManyDaemonsJoinTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var names []string
+		for i := range 130 {
+			names = append(names, fmt.Sprintf("d%d", i))
+		}
+		store := emulator.NewStore()
+		z := newZoneOf(t, store, names...)
+		defer z.end()
+		commits := int64(0)
+		for i, x := range z.relayers {
+			is.Equal(x.Members(), len(names))
+			commits += z.ways[i].commits.Load()
+		}
+		is.True(commits < 6*int64(len(names)))
+		rows, err := storer.All(context.Background(), store, "members-z//")
+		is.NoErr(err)
+		is.Equal(len(rows), 0)
+	})
+}
--- a/internal/storer/guard.go
+++ b/internal/storer/guard.go
@@ -47,11 +47,13 @@
 	// failing is when the failures in a row began, zero after a success.
 	failing time.Time
 	tried   time.Time
+	// parts are the partitions whose last try failed.
+	parts map[string]*partition
 }
 
 // NewGuard returns a guard of a table and its feed; the feed may be nil if it is not used.
 func NewGuard(t Table, f Feed, l Limits) *Guard {
-	return &Guard{table: t, feed: f, limits: l, patience: l.Most}
+	return &Guard{table: t, feed: f, limits: l, patience: l.Most, parts: map[string]*partition{}}
 }
 
 // Counts are the calls that a Guard let through, and the tries that it refused itself.
@@ -108,8 +110,23 @@
 	}
 }
 
-// enter returns the patience with a try, or an error if the service is away and was tried just now.
-func (g *Guard) enter() (time.Duration, error) {
+// notePart remembers whether a partition answers.
+func (g *Guard) notePart(name string, err error) {
+	if !errors.Is(err, ErrRefused) && !errors.Is(err, ErrUnavailable) {
+		delete(g.parts, name)
+		return
+	}
+	p := g.parts[name]
+	if p == nil {
+		p = &partition{}
+		g.parts[name] = p
+	}
+	p.failed(time.Now(), g.limits)
+}
+
+// enter returns the patience with a try, or an error if the service or the key's
+// partition is away and was tried just now.
+func (g *Guard) enter(key string) (time.Duration, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -120,16 +137,21 @@
 		}
 		g.tried = now
 	}
+	if p := g.parts[part(key)]; p != nil && !p.admits(now, g.limits) {
+		g.refused.Add(1)
+		return 0, errors.Wrapf(ErrAway, "partition of %s", key)
+	}
 	return g.patience, nil
 }
 
 // leave learns from a try that had a patience.
-func (g *Guard) leave(patience, took time.Duration, err error) {
+func (g *Guard) leave(key string, patience, took time.Duration, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	late := took >= patience && errors.Is(err, ErrUnavailable)
 	if !late || patience >= min(slowFactor*g.limits.Least, g.limits.Most) {
 		g.note(err)
+		g.notePart(part(key), err)
 	}
 	switch {
 	case late:
@@ -146,7 +168,7 @@
 
 // Get implements Table; it tries again until the context ends or the service is away.
 func (g *Guard) Get(ctx context.Context, key string) (Row, error) {
-	return again(ctx, g, func(ctx context.Context) (Row, error) {
+	return again(ctx, g, key, func(ctx context.Context) (Row, error) {
 		g.reads.Add(1)
 		return g.table.Get(ctx, key)
 	})
@@ -154,7 +176,7 @@
 
 // Scan implements Table; it tries again until the context ends or the service is away.
 func (g *Guard) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
-	return again(ctx, g, func(ctx context.Context) ([]Row, error) {
+	return again(ctx, g, prefix, func(ctx context.Context) ([]Row, error) {
 		g.reads.Add(1)
 		return g.table.Scan(ctx, prefix, after, limit)
 	})
@@ -162,14 +184,14 @@
 
 // Commit implements Table; it tries once.
 func (g *Guard) Commit(ctx context.Context, tx Transaction) (uint64, error) {
-	return once(ctx, g, func(ctx context.Context) (uint64, error) {
+	return once(ctx, g, tx.key(), func(ctx context.Context) (uint64, error) {
 		g.commits.Add(1)
 		return g.table.Commit(ctx, tx)
 	})
 }
 
-func once[T any](ctx context.Context, g *Guard, try func(ctx context.Context) (T, error)) (T, error) {
-	patience, err := g.enter()
+func once[T any](ctx context.Context, g *Guard, key string, try func(ctx context.Context) (T, error)) (T, error) {
+	patience, err := g.enter(key)
 	if err != nil {
 		var none T
 		return none, err
@@ -183,15 +205,15 @@
 	}
 	if ctx.Err() == nil {
 		// A caller that has left says nothing of the service.
-		g.leave(patience, time.Since(began), err)
+		g.leave(key, patience, time.Since(began), err)
 	}
 	return v, err
 }
 
-func again[T any](ctx context.Context, g *Guard, try func(ctx context.Context) (T, error)) (T, error) {
+func again[T any](ctx context.Context, g *Guard, key string, try func(ctx context.Context) (T, error)) (T, error) {
 	for {
-		v, err := once(ctx, g, try)
-		if !errors.Is(err, ErrRefused) && !errors.Is(err, ErrUnavailable) || g.Away() > 0 {
+		v, err := once(ctx, g, key, try)
+		if !errors.Is(err, ErrRefused) && !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrAway) || g.Away() > 0 {
 			return v, err
 		}
 		select {
--- a/internal/storer/guard_test.go
+++ b/internal/storer/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,3 +93,70 @@
 	is.True(errors.Is(err, storer.ErrConflict))
 	is.Equal(g.Away(), time.Duration(0))
 }
+
+// partial is a table of which one partition is away.
+type partial struct {
+	counted
+	away bool
+}
+
+// Get implements storer.Table.
+func (p *partial) Get(ctx context.Context, key string) (storer.Row, error) {
+	if p.away && strings.HasPrefix(key, "t/a/") {
+		p.tries++
+		return storer.Row{}, storer.ErrUnavailable
+	}
+	return p.counted.Get(ctx, key)
+}
+
+// TestAnOutageOfOnePartition replays an outage of a part of the service: reads of
+// it fail at once and cost few tries, and all others are served.
+func TestAnOutageOfOnePartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &partial{counted: counted{Table: emulator.NewStore()}, away: true}
+		g := storer.NewGuard(p, nil, guardLimits)
+		for range 100 {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			_, err := g.Get(ctx, "t/a/k")
+			is.True(err != nil)
+			cancel()
+			_, err = g.Get(context.Background(), "t/b/k")
+			is.NoErr(err)
+			is.Equal(g.Away(), time.Duration(0))
+			time.Sleep(50 * time.Millisecond)
+		}
+		// Those of b, 50 until a counts as away, and 5 a second afterwards.
+		is.True(p.tries < 100+50+30)
+		p.away = false
+		time.Sleep(guardLimits.Probe)
+		_, err := g.Get(context.Background(), "t/a/k")
+		is.NoErr(err)
+		_, err = g.Get(context.Background(), "t/a/other")
+		is.NoErr(err)
+	})
+}
+
+// TestFailuresFarApart says that single failures are no outage.
+func TestFailuresFarApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &partial{counted: counted{Table: emulator.NewStore()}}
+		g := storer.NewGuard(p, nil, guardLimits)
+		for range 5 {
+			p.away = true
+			_, err := g.Commit(context.Background(), storer.Transaction{})
+			is.NoErr(err) // Another partition.
+			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			_, err = g.Get(ctx, "t/a/k")
+			is.True(err != nil)
+			cancel()
+			p.away = false
+			time.Sleep(2 * time.Second)
+		}
+		_, err := g.Get(context.Background(), "t/a/k")
+		is.NoErr(err)
+		_, err = g.Get(context.Background(), "t/a/k")
+		is.NoErr(err)
+	})
+}
--- a/internal/storer/table.go
+++ b/internal/storer/table.go
@@ -34,6 +34,17 @@
 	Writes     []Write     `json:"writes"`
 }
 
+// key returns a key of the partition that the transaction works on.
+func (t *Transaction) key() string {
+	switch {
+	case len(t.Writes) > 0:
+		return t.Writes[0].Key
+	case len(t.Conditions) > 0:
+		return t.Conditions[0].Key
+	}
+	return ""
+}
+
 // Table is the platform's transactional table service.
 type Table interface {
 	// Get returns a row, with version zero if it is absent.
