steward,forwarder,relayer: [new] programs have a home in each zone, which holds history and budget for all its daemons

Change: steward opens and closes turns. A program's home among the zone's daemons, by rendezvous hashing, answers from memory; daemons whose home does not answer within 150 ms open the turn themselves and avoid it, longer each time. Rows and conditions decide as before, so a home is a shortcut and no owner. A grant that nobody closes counts as spent.

Ruled out: reading before writing (one write of three saved, the rest stays); the turn and the budget in one transaction (they share no partition, since a turn is found by its id alone); larger reservations (they help only daemons that see the next turn).

--- /dev/null
+++ b/internal/archivist/known.go
@@ -0,0 +1,49 @@
+package archivist
+
+import "slices"
+
+// NewChain returns a history of turns that are kept, the oldest first.
+func NewChain(turns []Turn) *Chain {
+	c := &Chain{}
+	for _, t := range turns {
+		c.nodes = append(c.nodes, &node{id: t.ID, ancestors: c.ancestors(), text: t.Text})
+	}
+	return c
+}
+
+// Turns returns the turns of the chain, the oldest first.
+func (c *Chain) Turns() []Turn {
+	turns := make([]Turn, len(c.nodes))
+	for i, n := range c.nodes {
+		turns[i] = Turn{ID: n.id, Parent: n.parent(), Text: n.text}
+	}
+	return turns
+}
+
+// Known returns the history that ends with a turn if all of it is in memory.
+func (a *Archivist) Known(id string) (*Chain, bool) {
+	var turns []Turn
+	for id != "" {
+		n := a.cache.get(id)
+		if n == nil || len(turns) >= maxDepth {
+			return nil, false
+		}
+		turns = append(turns, Turn{ID: n.id, Parent: n.parent(), Text: n.text})
+		id = n.parent()
+	}
+	slices.Reverse(turns)
+	return NewChain(turns), true
+}
+
+// Learn takes a turn into memory that another daemon has recorded, if its parent is there.
+func (a *Archivist) Learn(t Turn) {
+	n := &node{id: t.ID, text: t.Text}
+	if t.Parent != "" {
+		p := a.cache.get(t.Parent)
+		if p == nil {
+			return
+		}
+		n.ancestors = append([]string{t.Parent}, p.ancestors[:min(len(p.ancestors), maxAncestors-1)]...)
+	}
+	a.cache.put(n)
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,12 +11,11 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"pimentorail.example/pimentorail/internal/archivist"
-	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/placer"
 	"pimentorail.example/pimentorail/internal/recorder"
+	"pimentorail.example/pimentorail/internal/steward"
 	"pimentorail.example/pimentorail/internal/tracker"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
@@ -50,8 +49,7 @@
 type Parts struct {
 	Catalog  *cataloger.Keeper
 	Replicas *tracker.Tracker
-	Turns    *archivist.Archivist
-	Budgets  *budgeter.Budgeter
+	Programs *steward.Steward
 	Recorder *recorder.Recorder
 	Scope    tally.Scope
 	Wire     Wire
@@ -62,8 +60,7 @@
 	options  Options
 	catalog  *cataloger.Keeper
 	replicas *replicas
-	turns    *archivist.Archivist
-	budgets  *budgeter.Budgeter
+	programs *steward.Steward
 	recorder *recorder.Recorder
 	wire     Wire
 	conns    *connector.Connector
@@ -74,7 +71,7 @@
 // New returns a forwarder.
 func New(p Parts, o Options) *Forwarder {
 	return &Forwarder{
-		options: o, catalog: p.Catalog, replicas: newReplicas(p.Replicas, o.Zone), turns: p.Turns, budgets: p.Budgets,
+		options: o, catalog: p.Catalog, replicas: newReplicas(p.Replicas, o.Zone), programs: p.Programs,
 		recorder: p.Recorder, wire: p.Wire, conns: connector.New(), meter: newMeter(p.Scope),
 	}
 }
@@ -126,12 +123,12 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	j.turn, fault = f.prepare(ctx, q, j.route)
+	j.turn, fault = f.prepare(ctx, j)
 	if fault != nil {
 		f.Refuse(w, q, fault)
 		return
 	}
-	defer f.finish(j.turn)
+	defer j.turn.finish()
 	f.plan(j)
 	fault = f.attempt(ctx, w, j)
 	f.log(j, fault)
@@ -199,10 +196,6 @@
 	return d + time.Duration(spread*rand.Float64()*float64(d))
 }
 
-func (f *Forwarder) storeAway(err error, what string) *classifier.Fault {
-	return classifier.New(classifier.StoreAway, classifier.RanNo, "%s: %v", what, err).After(spreadOver(f.options.OutageComeBack))
-}
-
 // Refuse answers a request that was not placed.
 func (f *Forwarder) Refuse(w http.ResponseWriter, q *Request, fault *classifier.Fault) {
 	f.recorder.Event("forwarder", "refused").Str("id", q.ID).Str("program", q.Program).Int("code", int(fault.Code)).
@@ -229,7 +222,7 @@
 		Str("route", j.route.Name).Uint("version", j.version).Int("attempts", j.attempts).Int("ran", j.ran).
 		Dur("first", j.first).Dur("took", time.Since(j.request.Arrived)).Bool("passed", j.passed)
 	if j.turn != nil {
-		l.Int("tokens", j.turn.tokens).Str("parent", j.request.Parent).Int("history", j.turn.length())
+		l.Int("tokens", j.turn.tokens).Str("parent", j.request.Parent).Int("history", j.turn.length()).Str("home", j.turn.grant.Home())
 	}
 	if fault != nil {
 		l.Int("code", int(fault.Code)).Str("why", fault.Message)
--- a/internal/forwarder/rig_test.go
+++ b/internal/forwarder/rig_test.go
@@ -22,6 +22,7 @@
 	"pimentorail.example/pimentorail/internal/placer"
 	"pimentorail.example/pimentorail/internal/recorder"
 	"pimentorail.example/pimentorail/internal/seeder"
+	"pimentorail.example/pimentorail/internal/steward"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
@@ -85,9 +86,11 @@
 		list = append(list, &tracker.Replica{ID: fmt.Sprint(i), Service: "s", Address: strings.TrimPrefix(s.URL, "http://"), Slots: 4})
 	}
 	g.tracker.Replace(list, time.Now())
+	turns := archivist.New(g.store, archivist.Options{RowBytes: 1000, CacheBytes: 10_000})
+	lines := recorder.Start(ctx, io.Discard)
 	g.forwarder = forwarder.New(forwarder.Parts{
-		Catalog: g.catalog, Replicas: g.tracker, Turns: archivist.New(g.store, archivist.Options{RowBytes: 1000, CacheBytes: 10_000}),
-		Budgets: budgeter.Start(ctx, g.store, "me"), Recorder: recorder.Start(ctx, io.Discard), Scope: tally.NoopScope, Wire: testWire{},
+		Catalog: g.catalog, Replicas: g.tracker, Programs: steward.Start(ctx, turns, budgeter.Start(ctx, g.store, "me"), nil, lines, steward.Options{}), Recorder: lines,
+		Scope: tally.NoopScope, Wire: testWire{},
 	}, forwarder.Options{StorePatience: 100 * time.Millisecond, ComeBack: time.Second, OutageComeBack: time.Second})
 	g.front = httptest.NewServer(http.HandlerFunc(g.serve))
 	t.Cleanup(func() {
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"pimentorail.example/pimentorail/internal/steward"
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
@@ -20,6 +22,8 @@
 
 	mu    sync.Mutex
 	peers map[string]peer
+	// others are the peers for reading, replaced as a whole.
+	others atomic.Pointer[[]steward.Peer]
 }
 
 // peer is another daemon with what is known of it.
@@ -40,6 +44,7 @@
 	for _, r := range rows {
 		m.take(r, old)
 	}
+	m.list()
 }
 
 // Update implements follower.Sink.
@@ -53,6 +58,16 @@
 		}
 		m.take(c.Row, m.peers)
 	}
+	m.list()
+}
+
+// list renews the list of all peers.
+func (m *members) list() {
+	others := make([]steward.Peer, 0, len(m.peers))
+	for name, p := range m.peers {
+		others = append(others, steward.Peer{Name: name, Address: p.address})
+	}
+	m.others.Store(&others)
 }
 
 // Lost implements follower.Sink; peers stay known.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -15,6 +15,7 @@
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/linker"
 	"pimentorail.example/pimentorail/internal/recorder"
+	"pimentorail.example/pimentorail/internal/steward"
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
@@ -60,6 +61,8 @@
 	options Options
 	members *members
 	service *Service
+	// more are further services for peers, by name.
+	more     map[string]any
 	recorder *recorder.Recorder
 	pool     atomic.Pointer[linker.Pool]
 	tomb     *tomb.Tomb
@@ -69,7 +72,27 @@
 
 // New returns a relayer that knows no peers.
 func New(direct *storer.Guard, r *recorder.Recorder, o Options) *Relayer {
-	return &Relayer{direct: direct, options: o, members: newMembers(o.Name), service: &Service{direct: direct}, recorder: r}
+	return &Relayer{direct: direct, options: o, members: newMembers(o.Name), service: &Service{direct: direct}, more: map[string]any{}, recorder: r}
+}
+
+// Serve offers peers a further service; call it before Start.
+func (x *Relayer) Serve(name string, service any) { x.more[name] = service }
+
+// Others implements steward.Peers.
+func (x *Relayer) Others() []steward.Peer {
+	if list := x.members.others.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
+
+// Call implements linker.Caller.
+func (x *Relayer) Call(ctx context.Context, address, method string, args, reply any) error {
+	pool := x.pool.Load()
+	if pool == nil {
+		return errors.Wrap(linker.ErrUnreached, "the deployment's secret is not known yet")
+	}
+	return pool.Call(ctx, address, method, args, reply)
 }
 
 // Start looks for peers until the context ends.
@@ -145,9 +168,12 @@
 			return true
 		}
 		s := linker.NewServer(secret)
-		if err := s.Register(service, x.service); err != nil {
-			x.recorder.Event("relayer", "no service").Err(err).End()
-			return true
+		x.more[service] = x.service
+		for name, v := range x.more {
+			if err := s.Register(name, v); err != nil {
+				x.recorder.Event("relayer", "no service").Str("name", name).Err(err).End()
+				return true
+			}
 		}
 		s.Start(ctx, l)
 		x.pool.Store(linker.NewPool(x.options.Dial, secret))
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -23,6 +23,7 @@
 	"pimentorail.example/pimentorail/internal/recorder"
 	"pimentorail.example/pimentorail/internal/relayer"
 	"pimentorail.example/pimentorail/internal/reporter"
+	"pimentorail.example/pimentorail/internal/steward"
 	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
@@ -88,6 +89,7 @@
 	relayer   *relayer.Relayer
 	turns     *archivist.Archivist
 	budgets   *budgeter.Budgeter
+	programs  *steward.Steward
 	forwarder *forwarder.Forwarder
 	stopping  atomic.Bool
 	front     *http.Server
@@ -131,8 +133,12 @@
 	})
 	d.turns = archivist.New(d.relayer, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsShare)})
 	d.budgets = budgeter.Start(life, d.relayer, o.Name)
+	d.programs = steward.Start(life, d.turns, d.budgets, d.relayer, d.recorder, steward.Options{
+		Node: o.Node, Name: o.Name, Reaches: func() bool { return d.store.Away() == 0 },
+	})
+	d.relayer.Serve(steward.ServiceName, d.programs.Service())
 	d.forwarder = forwarder.New(forwarder.Parts{
-		Catalog: d.catalog, Replicas: d.tracker, Turns: d.turns, Budgets: d.budgets,
+		Catalog: d.catalog, Replicas: d.tracker, Programs: d.programs,
 		Recorder: d.recorder, Scope: d.metrics.Scope(), Wire: p.Wire,
 	}, forwarder.Options{
 		Zone: o.Zone, StorePatience: storePatience, ComeBack: comeBack, OutageComeBack: outageComeBack, Daemons: d.daemons,
@@ -264,11 +270,13 @@
 	hits, misses, repeats := d.turns.Counts()
 	writes, conflicts, doubts := d.budgets.Counts()
 	relayed, served := d.relayer.Counts()
+	asked, missed, opened := d.programs.Counts()
 	d.recorder.Event("server", "counts").Int("active", d.forwarder.Active()).
 		Int("store-reads", int(s.Reads)).Int("store-commits", int(s.Commits)).Int("store-lists", int(s.Lists)).
 		Int("store-changes", int(s.Changes)).Int("store-refused", int(s.Refused)).
 		Int("turns-in-memory", int(hits)).Int("turns-read", int(misses)).Int("turn-repeats", int(repeats)).
 		Int("budget-writes", int(writes)).Int("budget-conflicts", int(conflicts)).Int("budget-doubts", int(doubts)).
+		Int("homes-asked", int(asked)).Int("homes-missed", int(missed)).Int("opened-for-peers", int(opened)).
 		Int("relayed", int(relayed)).Int("relays-served", int(served)).
 		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).
 		Int("lines-dropped", int(d.recorder.Dropped())).End()
@@ -278,6 +286,7 @@
 func (d *Daemon) stop() {
 	began := time.Now()
 	d.stopping.Store(true)
+	d.programs.Leave()
 	d.recorder.Event("server", "stop").Int("active", d.forwarder.Active()).End()
 	if d.tomb.Alive() {
 		time.Sleep(min(linger, d.options.Grace/2))
@@ -285,6 +294,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.options.Grace-stopMargin))
 	defer cancel()
 	err := d.front.Shutdown(ctx)
+	d.programs.Drain(ctx)
 	d.budgets.Settle(ctx)
 	d.relayer.Leave(ctx)
 	d.logCounts()
