seater,forwarder,assigner: [new] a desk a zone and service seats all requests of the zone

Popular replicas queued for 400 ms while others had room: busiest against mean 1.54, 1,194 requests over their time.

Change: placing moves from forwarder into seater. All requests of a zone to one service are seated at one daemon, by rendezvous hashing; it counts what is under way, knows what the zone sent to each replica, and is told loads and ends in batches of 4 ms. A daemon whose desk does not answer within 30 ms chooses alone as before. Picking a peer for a key is now one package for homes and desks.

Tests: TestADeskKeepsQueuesShort replays the crest and fails for daemons that choose alone; silent and leaving desks, lost reports, tried replicas.

--- /dev/null
+++ b/internal/assigner/peer.go
@@ -0,0 +1,15 @@
+package assigner
+
+import "pimentorail.example/pimentorail/internal/linker"
+
+// Peer is another daemon of the zone.
+type Peer struct {
+	Name, Address string
+}
+
+// Peers are the other daemons of the zone.
+type Peers interface {
+	linker.Caller
+	// Others returns them; the caller does not change the list.
+	Others() []Peer
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -11,6 +11,7 @@
 
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/connector"
+	"pimentorail.example/pimentorail/internal/seater"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
@@ -27,18 +28,20 @@
 // A nil fault means that an answer went to the client whole.
 func (f *Forwarder) attempt(ctx context.Context, w http.ResponseWriter, j *job) *classifier.Fault {
 	for j.attempts < maxPlaces {
-		c, ok := f.replicas.choose(j.service, j.work, j.tried)
+		c, ok := f.seats.Choose(ctx, seater.Request{
+			Service: seater.Service{Name: j.service.Name, CacheTokens: j.service.CacheTokens}, Work: j.work, Tried: j.tried, Deadline: j.deadline,
+		})
 		if !ok {
 			break
 		}
 		j.attempts++
-		j.tried[c.instance] = true
+		j.tried[c.Instance] = true
 		how := f.try(ctx, w, j, c)
-		f.replicas.end(c, how)
+		c.End(how.outcome())
 		f.meter.attempt(how)
-		f.recorder.Event("forwarder", "tried").Str("id", j.request.ID).Str("replica", c.replica.ID).Str("service", j.service.Name).
-			Int("candidates", c.candidates).Int("cached", c.cached).Int("busy", int(c.busy)).Int("slowness", int(100*c.slowness)).
-			Dur("age", c.age).Int("attempt", j.attempts).Str("result", how.String()).Err(j.cause).End()
+		f.recorder.Event("forwarder", "tried").Str("id", j.request.ID).Str("replica", c.Replica.ID).Str("service", j.service.Name).
+			Int("candidates", c.Candidates).Int("cached", c.Cached).Int("busy", int(c.Busy)).Int("slowness", int(100*c.Slowness)).
+			Dur("age", c.Age).Str("desk", c.Desk).Int("attempt", j.attempts).Str("result", how.String()).Err(j.cause).End()
 		if how.ran() {
 			j.ran++
 		}
@@ -77,10 +80,10 @@
 }
 
 // try sends the request to one replica and passes its answer on.
-func (f *Forwarder) try(ctx context.Context, w http.ResponseWriter, j *job, c choice) result {
+func (f *Forwarder) try(ctx context.Context, w http.ResponseWriter, j *job, c *seater.Choice) result {
 	j.cause = nil
 	q := j.request
-	order := Order{Replica: c.replica.ID, Urgency: noUrgency}
+	order := Order{Replica: c.Replica.ID, Urgency: noUrgency}
 	if q.Patience > 0 {
 		order.Left = time.Until(j.deadline)
 		if order.Left <= 0 {
@@ -94,7 +97,7 @@
 	}
 	var a Answer
 	e, err := f.conns.Do(ctx, &connector.Call{
-		Instance: c.instance, Address: c.replica.Address, Method: q.Method, Target: q.Target, Host: q.Host,
+		Instance: c.Instance, Address: c.Replica.Address, Method: q.Method, Target: q.Target, Host: q.Host,
 		Header: f.wire.Outgoing(q, order), Body: body, Deadline: j.deadline, Limit: f.connections(j.service), Fresh: !j.route.Repeatable(),
 		Mine: func(r *http.Response) bool {
 			a = f.wire.Incoming(r.StatusCode, r.Header)
@@ -106,7 +109,7 @@
 	}
 	defer e.Close()
 	if a.Loaded {
-		f.replicas.told(c, a.Load)
+		c.Told(a.Load)
 	}
 	switch {
 	case a.Elsewhere:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,8 +15,8 @@
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/placer"
 	"pimentorail.example/pimentorail/internal/recorder"
+	"pimentorail.example/pimentorail/internal/seater"
 	"pimentorail.example/pimentorail/internal/steward"
-	"pimentorail.example/pimentorail/internal/tracker"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
@@ -34,7 +34,6 @@
 
 // Options are the settings of a Forwarder.
 type Options struct {
-	Zone string
 	// StorePatience bounds the reads and writes before a turn runs.
 	StorePatience time.Duration
 	// ComeBack is when a refused client should come back, at least.
@@ -48,7 +47,7 @@
 // Parts are what a Forwarder works with.
 type Parts struct {
 	Catalog  *cataloger.Keeper
-	Replicas *tracker.Tracker
+	Seats    *seater.Seater
 	Programs *steward.Steward
 	Recorder *recorder.Recorder
 	Scope    tally.Scope
@@ -59,7 +58,7 @@
 type Forwarder struct {
 	options  Options
 	catalog  *cataloger.Keeper
-	replicas *replicas
+	seats    *seater.Seater
 	programs *steward.Steward
 	recorder *recorder.Recorder
 	wire     Wire
@@ -71,7 +70,7 @@
 // New returns a forwarder.
 func New(p Parts, o Options) *Forwarder {
 	return &Forwarder{
-		options: o, catalog: p.Catalog, replicas: newReplicas(p.Replicas, o.Zone), programs: p.Programs,
+		options: o, catalog: p.Catalog, seats: p.Seats, programs: p.Programs,
 		recorder: p.Recorder, wire: p.Wire, conns: connector.New(), meter: newMeter(p.Scope),
 	}
 }
@@ -85,7 +84,6 @@
 // Trim frees what is no longer needed; call it now and then.
 func (f *Forwarder) Trim() {
 	f.conns.Trim(time.Now())
-	f.replicas.trim()
 }
 
 // Close drops idle connections.
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -1,5 +1,7 @@
 package forwarder
 
+import "pimentorail.example/pimentorail/internal/seater"
+
 // result is how the attempt at one replica ended.
 type result int
 
@@ -27,3 +29,16 @@
 
 // ran reports whether the replica may have run the request.
 func (r result) ran() bool { return r == answered || r == broken || r == cut || r == left }
+
+// outcome returns what the result says of the replica.
+func (r result) outcome() seater.Outcome {
+	switch r {
+	case answered:
+		return seater.Served
+	case refused:
+		return seater.Refused
+	case broken, unsent, elsewhere:
+		return seater.Failed
+	}
+	return seater.Unknown
+}
--- a/internal/forwarder/rig_test.go
+++ b/internal/forwarder/rig_test.go
@@ -21,6 +21,7 @@
 	"pimentorail.example/pimentorail/internal/forwarder"
 	"pimentorail.example/pimentorail/internal/placer"
 	"pimentorail.example/pimentorail/internal/recorder"
+	"pimentorail.example/pimentorail/internal/seater"
 	"pimentorail.example/pimentorail/internal/seeder"
 	"pimentorail.example/pimentorail/internal/steward"
 	"pimentorail.example/pimentorail/internal/tracker"
@@ -89,7 +90,7 @@
 	turns := archivist.New(g.store, archivist.Options{RowBytes: 1000, CacheBytes: 10_000})
 	lines := recorder.Start(ctx, io.Discard)
 	g.forwarder = forwarder.New(forwarder.Parts{
-		Catalog: g.catalog, Replicas: g.tracker, Programs: steward.Start(ctx, turns, budgeter.Start(ctx, g.store, "me"), nil, lines, steward.Options{}), Recorder: lines,
+		Catalog: g.catalog, Seats: seater.Start(ctx, g.tracker, nil, lines, seater.Options{}), Programs: steward.Start(ctx, turns, budgeter.Start(ctx, g.store, "me"), nil, lines, steward.Options{}), Recorder: lines,
 		Scope: tally.NoopScope, Wire: testWire{},
 	}, forwarder.Options{StorePatience: 100 * time.Millisecond, ComeBack: time.Second, OutageComeBack: time.Second})
 	g.front = httptest.NewServer(http.HandlerFunc(g.serve))
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"pimentorail.example/pimentorail/internal/steward"
+	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
@@ -23,7 +23,7 @@
 	mu    sync.Mutex
 	peers map[string]peer
 	// others are the peers for reading, replaced as a whole.
-	others atomic.Pointer[[]steward.Peer]
+	others atomic.Pointer[[]assigner.Peer]
 }
 
 // peer is another daemon with what is known of it.
@@ -63,9 +63,9 @@
 
 // list renews the list of all peers.
 func (m *members) list() {
-	others := make([]steward.Peer, 0, len(m.peers))
+	others := make([]assigner.Peer, 0, len(m.peers))
 	for name, p := range m.peers {
-		others = append(others, steward.Peer{Name: name, Address: p.address})
+		others = append(others, assigner.Peer{Name: name, Address: p.address})
 	}
 	m.others.Store(&others)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -12,10 +12,10 @@
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
+	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/linker"
 	"pimentorail.example/pimentorail/internal/recorder"
-	"pimentorail.example/pimentorail/internal/steward"
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
@@ -78,8 +78,8 @@
 // Serve offers peers a further service; call it before Start.
 func (x *Relayer) Serve(name string, service any) { x.more[name] = service }
 
-// Others implements steward.Peers.
-func (x *Relayer) Others() []steward.Peer {
+// Others implements assigner.Peers.
+func (x *Relayer) Others() []assigner.Peer {
 	if list := x.members.others.Load(); list != nil {
 		return *list
 	}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -23,6 +23,7 @@
 	"pimentorail.example/pimentorail/internal/recorder"
 	"pimentorail.example/pimentorail/internal/relayer"
 	"pimentorail.example/pimentorail/internal/reporter"
+	"pimentorail.example/pimentorail/internal/seater"
 	"pimentorail.example/pimentorail/internal/steward"
 	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
@@ -90,6 +91,7 @@
 	turns     *archivist.Archivist
 	budgets   *budgeter.Budgeter
 	programs  *steward.Steward
+	seats     *seater.Seater
 	forwarder *forwarder.Forwarder
 	stopping  atomic.Bool
 	front     *http.Server
@@ -136,12 +138,14 @@
 	d.programs = steward.Start(life, d.turns, d.budgets, d.relayer, d.recorder, steward.Options{
 		Node: o.Node, Name: o.Name, Reaches: func() bool { return d.store.Away() == 0 },
 	})
+	d.seats = seater.Start(life, d.tracker, d.relayer, d.recorder, seater.Options{Zone: o.Zone, Node: o.Node, Name: o.Name})
 	d.relayer.Serve(steward.ServiceName, d.programs.Service())
+	d.relayer.Serve(seater.ServiceName, d.seats.Desk())
 	d.forwarder = forwarder.New(forwarder.Parts{
-		Catalog: d.catalog, Replicas: d.tracker, Programs: d.programs,
+		Catalog: d.catalog, Seats: d.seats, Programs: d.programs,
 		Recorder: d.recorder, Scope: d.metrics.Scope(), Wire: p.Wire,
 	}, forwarder.Options{
-		Zone: o.Zone, StorePatience: storePatience, ComeBack: comeBack, OutageComeBack: outageComeBack, Daemons: d.daemons,
+		StorePatience: storePatience, ComeBack: comeBack, OutageComeBack: outageComeBack, Daemons: d.daemons,
 	})
 	return d
 }
@@ -271,12 +275,14 @@
 	writes, conflicts, doubts := d.budgets.Counts()
 	relayed, served := d.relayer.Counts()
 	asked, missed, opened := d.programs.Counts()
+	toDesks, alone, seated := d.seats.Counts()
 	d.recorder.Event("server", "counts").Int("active", d.forwarder.Active()).
 		Int("store-reads", int(s.Reads)).Int("store-commits", int(s.Commits)).Int("store-lists", int(s.Lists)).
 		Int("store-changes", int(s.Changes)).Int("store-refused", int(s.Refused)).
 		Int("turns-in-memory", int(hits)).Int("turns-read", int(misses)).Int("turn-repeats", int(repeats)).
 		Int("budget-writes", int(writes)).Int("budget-conflicts", int(conflicts)).Int("budget-doubts", int(doubts)).
 		Int("homes-asked", int(asked)).Int("homes-missed", int(missed)).Int("opened-for-peers", int(opened)).
+		Int("desks-asked", int(toDesks)).Int("desks-missed", int(alone)).Int("seated-for-peers", int(seated)).
 		Int("relayed", int(relayed)).Int("relays-served", int(served)).
 		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).
 		Int("lines-dropped", int(d.recorder.Dropped())).End()
@@ -287,6 +293,7 @@
 	began := time.Now()
 	d.stopping.Store(true)
 	d.programs.Leave()
+	d.seats.Leave()
 	d.recorder.Event("server", "stop").Int("active", d.forwarder.Active()).End()
 	if d.tomb.Alive() {
 		time.Sleep(min(linger, d.options.Grace/2))
--- a/internal/steward/grant.go
+++ b/internal/steward/grant.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pimentorail.example/pimentorail/internal/archivist"
+	"pimentorail.example/pimentorail/internal/assigner"
 )
 
 const (
@@ -20,7 +21,7 @@
 	turn    Turn
 	chain   *archivist.Chain
 	// home is where the tokens are held; without an address it is this daemon.
-	home Peer
+	home assigner.Peer
 	id   string
 	// kept is the turn once it has been recorded.
 	kept *archivist.Turn
@@ -63,7 +64,7 @@
 // its tokens as spent if it never hears of it.
 type closing struct {
 	steward *Steward
-	home    Peer
+	home    assigner.Peer
 	request CloseRequest
 }
 
--- a/internal/steward/rig_test.go
+++ b/internal/steward/rig_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pimentorail.example/pimentorail/internal/archivist"
+	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/emulator"
 	"pimentorail.example/pimentorail/internal/linker"
@@ -102,14 +103,14 @@
 	return n
 }
 
-// Others implements steward.Peers.
-func (d *daemon) Others() []steward.Peer {
+// Others implements assigner.Peers.
+func (d *daemon) Others() []assigner.Peer {
 	d.zone.mu.Lock()
 	defer d.zone.mu.Unlock()
-	var list []steward.Peer
+	var list []assigner.Peer
 	for _, o := range d.zone.daemons {
 		if o != nil && o.address != d.address {
-			list = append(list, steward.Peer{Name: o.address, Address: o.address})
+			list = append(list, assigner.Peer{Name: o.address, Address: o.address})
 		}
 	}
 	return list
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"pimentorail.example/pimentorail/internal/archivist"
+	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/linker"
 	"pimentorail.example/pimentorail/internal/recorder"
@@ -41,18 +42,6 @@
 	Lasts time.Duration
 }
 
-// Peer is another daemon of the zone.
-type Peer struct {
-	Name, Address string
-}
-
-// Peers are the other daemons of the zone.
-type Peers interface {
-	linker.Caller
-	// Others returns them; the caller does not change the list.
-	Others() []Peer
-}
-
 // Options are the settings of a Steward.
 type Options struct {
 	// Node names this VM, and Name this process and none before or after it.
@@ -67,8 +56,8 @@
 	turns    *archivist.Archivist
 	budgets  *budgeter.Budgeter
 	recorder *recorder.Recorder
-	peers    Peers
-	homes    homes
+	peers    assigner.Peers
+	homes    *assigner.Assigner
 	book     book
 	tomb     *tomb.Tomb
 	leaving  atomic.Bool
@@ -79,8 +68,8 @@
 }
 
 // Start returns a steward that works until the context ends; peers may be nil.
-func Start(ctx context.Context, turns *archivist.Archivist, budgets *budgeter.Budgeter, peers Peers, r *recorder.Recorder, o Options) *Steward {
-	s := &Steward{options: o, turns: turns, budgets: budgets, peers: peers, recorder: r}
+func Start(ctx context.Context, turns *archivist.Archivist, budgets *budgeter.Budgeter, peers assigner.Peers, r *recorder.Recorder, o Options) *Steward {
+	s := &Steward{options: o, turns: turns, budgets: budgets, peers: peers, homes: assigner.New(o.Node, peers), recorder: r}
 	s.tomb, _ = tomb.WithContext(ctx)
 	s.tomb.Go(s.run)
 	return s
@@ -133,7 +122,7 @@
 // Open returns a grant for a turn. ErrNoTurn and ErrExhausted are certain; after
 // any other error nobody knows.
 func (s *Steward) Open(ctx context.Context, t Turn) (*Grant, error) {
-	if home, ok := s.home(t.Program); ok {
+	if home, ok := s.homes.Of(t.Program); ok && t.Program != "" {
 		s.asked.Add(1)
 		if g, err := s.ask(ctx, home, t); g != nil || err != nil {
 			return g, err
@@ -147,14 +136,6 @@
 	return &Grant{steward: s, turn: t, chain: chain}, nil
 }
 
-// home returns the peer that is a program's home, if it is a peer.
-func (s *Steward) home(program string) (Peer, bool) {
-	if program == "" || s.peers == nil {
-		return Peer{}, false
-	}
-	return s.homes.of(program, s.options.Node, s.peers.Others(), time.Now())
-}
-
 // open works on the rows: it reads the history and reserves the tokens side by side.
 func (s *Steward) open(ctx context.Context, t Turn) (*archivist.Chain, error) {
 	l := &loading{turns: s.turns, parent: t.Parent, done: make(chan struct{})}
@@ -201,7 +182,7 @@
 
 // ask opens a turn at its home. It returns neither a grant nor an error if the
 // turn is to be opened here.
-func (s *Steward) ask(ctx context.Context, home Peer, t Turn) (*Grant, error) {
+func (s *Steward) ask(ctx context.Context, home assigner.Peer, t Turn) (*Grant, error) {
 	id := s.options.Name + "." + strconv.FormatInt(s.number.Add(1), 10)
 	q := OpenRequest{ID: id, Turn: t, Left: homePatience}
 	known, ok := s.turns.Known(t.Parent)
@@ -217,7 +198,7 @@
 			return nil, s.miss(ctx, home, id, t, err)
 		}
 	}
-	s.homes.answered(home.Address)
+	s.homes.Answered(home.Address)
 	switch r.Outcome {
 	case NoTurn:
 		return nil, errors.WithMessagef(archivist.ErrNoTurn, "history at %s", home.Name)
@@ -235,12 +216,12 @@
 }
 
 // miss notes that a home did not open a turn.
-func (s *Steward) miss(ctx context.Context, home Peer, id string, t Turn, err error) error {
+func (s *Steward) miss(ctx context.Context, home assigner.Peer, id string, t Turn, err error) error {
 	if ctx.Err() != nil {
 		s.disown(home, id, t)
 		return errors.Wrap(ctx.Err(), "home")
 	}
-	if s.homes.failed(home.Address, time.Now()) {
+	if s.homes.Failed(home.Address) {
 		s.recorder.Event("steward", "home left").Str("home", home.Name).Str("id", t.ID).Err(err).End()
 	}
 	if err != nil && !errors.Is(err, linker.ErrUnreached) {
@@ -250,6 +231,6 @@
 }
 
 // disown takes back a grant that a home may have made.
-func (s *Steward) disown(home Peer, id string, t Turn) {
+func (s *Steward) disown(home assigner.Peer, id string, t Turn) {
 	(&Grant{steward: s, turn: t, home: home, id: id}).Close(0)
 }
