linker,platform: [fix] a late answer wrote into a reply that was used already; a peer that does not read held up all calls to it

Found while tracing it: net/rpc writes a call before it looks at any context, so a frozen peer with a full window blocked its callers.

--- a/internal/linker/pool.go
+++ b/internal/linker/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"time"
 
@@ -34,13 +35,17 @@
 	if err != nil {
 		return errors.Wrapf(ErrUnreached, "%s at %s: %v", method, address, err)
 	}
-	call := c.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// A late answer is decoded into the reply of its call after the caller has left
+	// with its own, so each call has one to itself.
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	call := c.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
 		return errors.Wrapf(ErrLost, "%s at %s: %v", method, address, ctx.Err())
 	}
 	if call.Error == nil {
+		reflect.ValueOf(reply).Elem().Set(answer.Elem())
 		return nil
 	}
 	p.drop(address, c)
@@ -65,7 +70,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	fresh := rpc.NewClient(conn)
+	fresh := rpc.NewClient(impatient{conn})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old, ok := p.peers[address]; ok {
