steward: [change] a home in an outage opens turns from memory

Cause: in an outage for all every turn was refused, also where the home held the program's tokens and history in memory: homes refused peers whenever the store was away from them, and were avoided for it.

Change: a home tries and says that it could not; only one that stops or does not answer is avoided. Ruled out: refusing turns with a history at once in an outage (variant B), since outages that end in time keep them.

--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -135,9 +135,7 @@
 	})
 	d.turns = archivist.New(d.relayer, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsShare)})
 	d.budgets = budgeter.Start(life, d.relayer, o.Name)
-	d.programs = steward.Start(life, d.turns, d.budgets, d.relayer, d.recorder, steward.Options{
-		Node: o.Node, Name: o.Name, Reaches: func() bool { return d.store.Away() == 0 },
-	})
+	d.programs = steward.Start(life, d.turns, d.budgets, d.relayer, d.recorder, steward.Options{Node: o.Node, Name: o.Name})
 	d.seats = seater.Start(life, d.tracker, d.relayer, d.recorder, seater.Options{Zone: o.Zone, Node: o.Node, Name: o.Name})
 	d.relayer.Serve(steward.ServiceName, d.programs.Service())
 	d.relayer.Serve(seater.ServiceName, d.seats.Desk())
--- a/internal/steward/service.go
+++ b/internal/steward/service.go
@@ -25,8 +25,11 @@
 
 // The outcomes.
 const (
-	// Refused means that the asking daemon should open the turn itself.
+	// Refused means that the asking daemon should open the turn itself, since the
+	// home has not what it takes in memory and can't get it.
 	Refused Outcome = iota
+	// Closed means that the home opens no turns.
+	Closed
 	// Granted means that the tokens are held until the turn is closed.
 	Granted
 	// NoTurn and Exhausted mean what the errors of these names mean.
@@ -74,7 +77,8 @@
 func (v *Service) Open(q OpenRequest, r *OpenReply) error {
 	s := v.steward
 	defer v.busy.Add(-1)
-	if v.busy.Add(1) > maxServed || s.leaving.Load() || s.options.Reaches != nil && !s.options.Reaches() {
+	if v.busy.Add(1) > maxServed || s.leaving.Load() {
+		r.Outcome = Closed
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(s.tomb.Context(nil), q.Left)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -46,8 +46,6 @@
 type Options struct {
 	// Node names this VM, and Name this process and none before or after it.
 	Node, Name string
-	// Reaches says whether the store can be used from here; nil is yes.
-	Reaches func() bool
 }
 
 // Steward opens and closes turns for one daemon.
@@ -194,8 +192,11 @@
 		short, cancel := context.WithTimeout(ctx, homePatience)
 		defer cancel()
 		err := s.peers.Call(short, home.Address, openMethod, q, &r)
-		if err != nil || r.Outcome == Refused {
+		switch {
+		case err != nil || r.Outcome == Closed:
 			return nil, s.miss(ctx, home, id, t, err)
+		case r.Outcome == Refused:
+			return nil, nil
 		}
 	}
 	s.homes.Answered(home.Address)
