crediter,forwarder,cmd: [new] pimentorail credit tells where the time of late programs went

Change: `done` lines carry when the turn was opened and what is left until the program should be finished; `pimentorail credit` sums them by programs in time and late. Ruled out: a metric a program (unbounded).

--- a/cmd/pimentorail/main.go
+++ b/cmd/pimentorail/main.go
@@ -51,6 +51,7 @@
 	Engine   engineCommand   `cmd:"" help:"Run the stand-in of a model engine."`
 	Tool     toolCommand     `cmd:"" help:"Run the stand-in of a plain service."`
 	Balancer balancerCommand `cmd:"" help:"Run the stand-in of the balancer."`
+	Credit   creditCommand   `cmd:"" help:"Show from log lines of serve where the time of programs went."`
 	Load     loadCommand     `cmd:"" help:"Play seeded programs and check the promises."`
 	Summary  summaryCommand  `cmd:"" help:"Print medians and ranges of the load tool's reports."`
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -105,8 +105,10 @@
 	attempts int
 	// passed says that a part of the answer went to the client.
 	passed bool
-	first  time.Duration
-	cause  error
+	// opened and first are when the turn was opened and its first event came, since
+	// the request's arrival.
+	opened, first time.Duration
+	cause         error
 }
 
 // Serve carries one request. An answer that broke off panics with
@@ -127,6 +129,7 @@
 		return
 	}
 	defer j.turn.finish()
+	j.opened = time.Since(q.Arrived)
 	f.plan(j)
 	fault = f.attempt(ctx, w, j)
 	f.log(j, fault)
@@ -218,7 +221,10 @@
 func (f *Forwarder) log(j *job, fault *classifier.Fault) {
 	l := f.recorder.Event("forwarder", "done").Str("id", j.request.ID).Str("program", j.request.Program).
 		Str("route", j.route.Name).Uint("version", j.version).Int("attempts", j.attempts).Int("ran", j.ran).
-		Dur("first", j.first).Dur("took", time.Since(j.request.Arrived)).Bool("passed", j.passed)
+		Dur("opened", j.opened).Dur("first", j.first).Dur("took", time.Since(j.request.Arrived)).Bool("passed", j.passed)
+	if j.request.Finish > 0 {
+		l.Dur("left", j.request.Finish-time.Since(j.request.Arrived))
+	}
 	if j.turn != nil {
 		l.Int("tokens", j.turn.tokens).Str("parent", j.request.Parent).Int("history", j.turn.length()).Str("home", j.turn.grant.Home())
 	}
