--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -45,7 +45,7 @@
 	// holders numbers the programs taken into memory.
 	holders int
 
-	writes, conflicts, doubts atomic.Int64
+	writes, conflicts, doubts, unsettled atomic.Int64
 }
 
 // program is this daemon's view of one program.
@@ -84,9 +84,16 @@
 // Wait returns once the budgeter has ended.
 func (b *Budgeter) Wait() error { return b.tomb.Wait() }
 
-// Counts returns the writes, the conflicts and the writes in doubt.
-func (b *Budgeter) Counts() (writes, conflicts, doubts int64) {
-	return b.writes.Load(), b.conflicts.Load(), b.doubts.Load()
+// Counts are what a Budgeter did so far.
+type Counts struct {
+	Writes, Conflicts, Doubts int64
+	// Unsettled is how often tokens could not be given back and were kept for another try.
+	Unsettled int64
+}
+
+// Counts returns what was done so far.
+func (b *Budgeter) Counts() Counts {
+	return Counts{b.writes.Load(), b.conflicts.Load(), b.doubts.Load(), b.unsettled.Load()}
 }
 
 // Reserve sets tokens of a program's budget aside for a turn. It returns
@@ -313,6 +320,8 @@
 		return
 	}
 	if err := b.write(ctx, p, held); err != nil {
+		// One line a program would flood the log in an outage; the count is logged.
+		b.unsettled.Add(1)
 		b.mu.Lock()
 		p.dirty = true
 		b.mu.Unlock()
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -270,7 +270,7 @@
 func (d *Daemon) logCounts() {
 	s, c := d.store.Counts(), d.forwarder.Connections()
 	hits, misses, repeats := d.turns.Counts()
-	writes, conflicts, doubts := d.budgets.Counts()
+	b := d.budgets.Counts()
 	relayed, served := d.relayer.Counts()
 	asked, missed, opened := d.programs.Counts()
 	toDesks, alone, seated := d.seats.Counts()
@@ -278,7 +278,7 @@
 		Int("store-reads", int(s.Reads)).Int("store-commits", int(s.Commits)).Int("store-lists", int(s.Lists)).
 		Int("store-changes", int(s.Changes)).Int("store-refused", int(s.Refused)).
 		Int("turns-in-memory", int(hits)).Int("turns-read", int(misses)).Int("turn-repeats", int(repeats)).
-		Int("budget-writes", int(writes)).Int("budget-conflicts", int(conflicts)).Int("budget-doubts", int(doubts)).
+		Int("budget-writes", int(b.Writes)).Int("budget-conflicts", int(b.Conflicts)).Int("budget-doubts", int(b.Doubts)).Int("budget-unsettled", int(b.Unsettled)).
 		Int("homes-asked", int(asked)).Int("homes-missed", int(missed)).Int("opened-for-peers", int(opened)).
 		Int("desks-asked", int(toDesks)).Int("desks-missed", int(alone)).Int("seated-for-peers", int(seated)).
 		Int("relayed", int(relayed)).Int("relays-served", int(served)).
