seater,steward: [clean] look a chosen replica up once, note an answer only where one came

Cause: read as a newcomer, Choose searched the registry twice for the same replica, and a home counted as answering when it had not been asked. Change: choose returns the replica; the note moved beside the call. Result: tests of seater, steward, forwarder and server pass with the race detector; behaviour meant to be the same.

--- a/internal/seater/desk.go
+++ b/internal/seater/desk.go
@@ -65,7 +65,8 @@
 	for _, instance := range q.Tried {
 		tried[instance] = true
 	}
-	if r.Seat, r.Found = s.views.choose(q.Service, q.Work, tried); r.Found {
+	seat, replica := s.views.choose(q.Service, q.Work, tried)
+	if r.Seat, r.Found = seat, replica != nil; r.Found {
 		s.seated.Add(1)
 		s.taken.add(q.ID, r.Seat.Instance, time.Now().Add(q.Lasts+lateMargin))
 	}
--- a/internal/seater/seater.go
+++ b/internal/seater/seater.go
@@ -112,17 +112,11 @@
 		}
 		s.missed.Add(1)
 	}
-	seat, ok := s.views.choose(q.Service, q.Work, q.Tried)
-	if !ok {
+	seat, replica := s.views.choose(q.Service, q.Work, q.Tried)
+	if replica == nil {
 		return nil, false
 	}
-	for _, r := range s.views.tracker.Usable(q.Service.Name) {
-		if r.Instance() == seat.Instance {
-			return &Choice{Seat: seat, Replica: r, seater: s}, true
-		}
-	}
-	s.views.end(seat.Instance, Unknown) // It left at this moment.
-	return nil, false
+	return &Choice{Seat: seat, Replica: replica, seater: s}, true
 }
 
 // ask lets the desk choose; it returns nil if the choice is to be made here.
--- a/internal/seater/views.go
+++ b/internal/seater/views.go
@@ -35,8 +35,9 @@
 
 func (s *views) now() time.Duration { return time.Since(s.start) }
 
-// choose takes the best replica that was not tried, and counts the request there.
-func (s *views) choose(v Service, w placer.Work, tried map[string]bool) (Seat, bool) {
+// choose takes the best replica that was not tried, and counts the request there;
+// it returns no replica if there is none.
+func (s *views) choose(v Service, w placer.Work, tried map[string]bool) (Seat, *tracker.Replica) {
 	usable := s.tracker.Usable(v.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -52,7 +53,7 @@
 	}
 	i := s.costs.Choose(list, w, now, rand.IntN)
 	if i < 0 {
-		return Seat{}, false
+		return Seat{}, nil
 	}
 	view := list[i]
 	age, _ := view.Age(now)
@@ -60,7 +61,7 @@
 		Instance: fit[i].Instance(), Candidates: len(list), Busy: view.Busy(now), Slowness: view.Slowness(now), Age: age, Cached: view.Cached(w.Parts),
 	}
 	view.Begin(w, now)
-	return seat, true
+	return seat, fit[i]
 }
 
 // take counts a request at a replica that the desk chose; it returns nil if the
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -198,8 +198,8 @@
 		case r.Outcome == Refused:
 			return nil, nil
 		}
+		s.homes.Answered(home.Address)
 	}
-	s.homes.Answered(home.Address)
 	switch r.Outcome {
 	case NoTurn:
 		return nil, errors.WithMessagef(archivist.ErrNoTurn, "history at %s", home.Name)
