server: [fix] a planned stop never ended: the server of the metrics was not closed

Run waits for all of the daemon's goroutines, and the one that serves the metrics ended only with the process.

Change: the metrics server is closed with the others. TestAPlannedStopCutsNothing now has a metrics address; without the change it hung until its time-out of 30 s.

--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -96,7 +96,9 @@
 	stopping  atomic.Bool
 	front     *http.Server
 	ready     *http.Server
-	tomb      *tomb.Tomb
+	// shown serves the metrics.
+	shown *http.Server
+	tomb  *tomb.Tomb
 }
 
 // Run runs a daemon until the context ends, and then stops it as planned.
@@ -168,7 +170,8 @@
 		return err
 	}
 	if d.options.Metrics != "" {
-		if err := d.serve(d.newServer(d.metrics.Handler()), d.options.Metrics); err != nil {
+		d.shown = d.newServer(d.metrics.Handler())
+		if err := d.serve(d.shown, d.options.Metrics); err != nil {
 			d.recorder.Event("server", "no metrics").Err(err).End()
 		}
 	}
@@ -305,6 +308,9 @@
 	d.logCounts()
 	d.recorder.Event("server", "stopped").Int("active", d.forwarder.Active()).Dur("took", time.Since(began)).Err(err).End()
 	_ = d.ready.Close()
+	if d.shown != nil {
+		_ = d.shown.Close()
+	}
 	d.forwarder.Close()
 	d.tomb.Kill(nil)
 }
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &daemon{t: t, store: emulator.NewStore(), front: address(t), ready: address(t), cancel: cancel, ended: make(chan error, 1)}
 	o := server.Options{
-		Name: "d-1", Node: "d", Zone: "z", Zones: 1, Front: d.front, Ready: d.ready, ReadyPath: "/ready",
+		Name: "d-1", Node: "d", Zone: "z", Zones: 1, Front: d.front, Ready: d.ready, Metrics: address(t), ReadyPath: "/ready",
 		Grace: 3 * time.Second, RowBytes: 1000, MemoryBytes: 64 << 20, Output: io.Discard,
 	}
 	p := server.Platform{
