tracker,server,follower: [fix] rows removed and written again in an outage are kept

Cause: the sink of the registry split the changes of one reply of the feed into written and removed rows and applied the written ones first. Rows that expire in an outage are removed and written again before the daemons read the registry: the reply after the outage held 189 changes (62 written, 127 removed; trial with a trace of each reply), so replicas whose new row stood in the same reply as the removal were marked as missing, removed 2.2 s later, and never came back, since their rows did not change again. Every daemon knew half of the fleet. The feed itself lost nothing: no reply was cut (has_more false in all 535), versions were in order.

Change: the tracker applies changes in their order. As a second line, the follower lists a table once more after an outage (registry: at the end of the grace period, before replicas without a row are removed; configuration: after 1 s), which covers a feed that leaves out changes. The configuration's sink already applied changes in order.

Ruled out: cut replies, a version moved by a relayed read, rows of an older sequence (the issue's trial).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -33,6 +33,9 @@
 	PollInterval time.Duration
 	// Timeout is the timeout of a request, in addition to LongPoll.
 	Timeout time.Duration
+	// VerifyAfter is how long after an outage of the store the table is listed again, so that
+	// a change that the feed left out does not stay unknown. With zero it is not.
+	VerifyAfter time.Duration
 }
 
 // Follower replicates one table until its context ends.
@@ -44,6 +47,8 @@
 	failing bool
 	listed  bool
 	version uint64
+	// verifyAt is when the table is listed again, zero if no outage has ended since.
+	verifyAt time.Time
 }
 
 // Start starts a Follower that runs until the context ends.
@@ -85,15 +90,19 @@
 		f.sink.StoreUnavailable(err)
 	case err == nil && f.failing:
 		f.failing = false
+		if f.options.VerifyAfter > 0 {
+			f.verifyAt = time.Now().Add(f.options.VerifyAfter)
+		}
 		f.sink.StoreRecovered()
 	}
 }
 
-// update lists the table once, or requests its changes if it has been listed.
+// update requests the changes of the table, or lists it if it has not been listed or is to
+// be verified.
 func (f *Follower) update(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.LongPoll+f.options.Timeout)
 	defer cancel()
-	if !f.listed {
+	if !f.listed || !f.verifyAt.IsZero() && time.Now().After(f.verifyAt) {
 		return f.list(ctx)
 	}
 	changes, version, err := f.feed.Changes(ctx, f.options.Table, f.version, f.options.LongPoll)
@@ -124,6 +133,9 @@
 		f.reportTransition(nil)
 	}
 	f.listed, f.version = true, version
+	if !f.verifyAt.IsZero() && time.Now().After(f.verifyAt) {
+		f.verifyAt = time.Time{}
+	}
 	f.sink.Replace(rows, version)
 	return nil
 }
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -2,10 +2,16 @@
 
 import (
 	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
+// configOptions returns the options with which the configuration is followed.
+func configOptions(table string) follower.Options {
+	return follower.Options{Table: table, LongPoll: configWait, PollInterval: configBackoff, Timeout: followTimeout, VerifyAfter: configVerifyAfter}
+}
+
 // configSink decodes the configuration row to a catalog and applies each newer version.
 type configSink struct {
 	keeper    *cataloger.Keeper
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -36,6 +36,9 @@
 	followTimeout = 900 * time.Millisecond
 	// configBackoff is the time between two attempts to read the configuration.
 	configBackoff = 150 * time.Millisecond
+	// configVerifyAfter is how long after an outage of the store the configuration is read
+	// in full.
+	configVerifyAfter = time.Second
 	// registryPeriod is the time between two reads of the changes of the registry of
 	// replicas.
 	registryPeriod = 700 * time.Millisecond
@@ -133,9 +136,7 @@
 	d.logger = logger.Start(ctx, o.Output)
 	d.outageLog = newOutageLog(d.logger)
 	d.tracker = tracker.New(tracker.Options{OutageGrace: outageGrace})
-	d.store = storer.NewGuard(p.Table, p.Feed, storer.Limits{
-		MinTimeout: guardMinTimeout, MaxTimeout: guardMaxTimeout, OutageAfter: guardOutageAfter, ProbeInterval: guardProbePeriod, RetryBackoff: guardBackoff,
-	})
+	d.store = newGuard(p.Table, p.Feed)
 	d.relayer = relayer.New(d.store, d.logger, relayer.Options{
 		VM: o.VM, Zone: o.Zone, Address: o.PeerAddress, Dial: dialPeer, Listen: listen,
 	})
@@ -154,6 +155,13 @@
 	return d
 }
 
+// newGuard returns the guard before a daemon's store.
+func newGuard(t storer.Table, f storer.Feed) *storer.Guard {
+	return storer.NewGuard(t, f, storer.Limits{
+		MinTimeout: guardMinTimeout, MaxTimeout: guardMaxTimeout, OutageAfter: guardOutageAfter, ProbeInterval: guardProbePeriod, RetryBackoff: guardBackoff,
+	})
+}
+
 func (d *Daemon) start(runCtx context.Context) error {
 	d.tomb, _ = tomb.WithContext(runCtx)
 	ctx := d.tomb.Context(nil)
@@ -161,10 +169,10 @@
 	d.relayer.Start(runCtx)
 	follower.Start(ctx, d.relayer, &configSink{
 		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, logger: d.logger, outageLog: d.outageLog,
-	}, follower.Options{Table: d.platform.CatalogTable, LongPoll: configWait, PollInterval: configBackoff, Timeout: followTimeout})
+	}, configOptions(d.platform.CatalogTable))
 	follower.Start(ctx, d.relayer, &registrySink{
 		tracker: d.tracker, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog,
-	}, follower.Options{Table: d.platform.ReplicaTable, PollInterval: registryPeriod, Timeout: followTimeout})
+	}, registryOptions(d.platform.ReplicaTable))
 	d.clientServer = d.newServer(d.closeWhenStopping(d.platform.Ingress(d.forwarder, d.catalog)))
 	d.readyServer = d.newServer(d.readyHandler())
 	if err := d.serve(d.clientServer, d.options.ClientAddress); err != nil {
--- /dev/null
+++ b/internal/server/export_test.go
@@ -0,0 +1,27 @@
+package server
+
+import (
+	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/follower"
+	"pimentorail.example/pimentorail/internal/logger"
+	"pimentorail.example/pimentorail/internal/tracker"
+)
+
+// OutageGrace is how long after an outage a replica without a row stays usable.
+const OutageGrace = outageGrace
+
+// Options with which a daemon follows the tables of the platform.
+var (
+	RegistryOptions = registryOptions
+	ConfigOptions   = configOptions
+)
+
+// NewRegistrySink returns the sink that a daemon uses for the registry of replicas.
+func NewRegistrySink(t *tracker.Tracker, decode func(string, []byte) (*tracker.Replica, error), l *logger.Logger) follower.Sink {
+	return &registrySink{tracker: t, decode: decode, logger: l, outageLog: newOutageLog(l)}
+}
+
+// NewConfigSink returns the sink that a daemon uses for the configuration.
+func NewConfigSink(k *cataloger.Keeper, key string, decode func([]byte) (*cataloger.Catalog, error), l *logger.Logger) follower.Sink {
+	return &configSink{keeper: k, key: key, decode: decode, logger: l, outageLog: newOutageLog(l)}
+}
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -3,11 +3,19 @@
 import (
 	"time"
 
+	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
+// registryOptions returns the options with which the registry is followed. The table is
+// listed again at the end of the grace period, before replicas whose rows are missing
+// since an outage are removed.
+func registryOptions(table string) follower.Options {
+	return follower.Options{Table: table, PollInterval: registryPeriod, Timeout: followTimeout, VerifyAfter: outageGrace}
+}
+
 // registrySink decodes the rows of the registry of replicas and updates the tracker with
 // them.
 type registrySink struct {
@@ -25,22 +33,23 @@
 			list = append(list, x)
 		}
 	}
-	g.logChanges(g.tracker.Replace(list, time.Now()), version)
+	now := time.Now()
+	g.logChanges(g.tracker.Replace(list, now), version)
+	g.logChanges(g.tracker.Expire(now), version)
 }
 
 // Update implements follower.Sink.
 func (g *registrySink) Update(changes []storer.Change, version uint64) {
-	var put []*tracker.Replica
-	var removed []string
+	rows := make([]tracker.Row, 0, len(changes))
 	for _, c := range changes {
 		if c.Removed {
-			removed = append(removed, c.Name())
+			rows = append(rows, tracker.Row{ID: c.Name()})
 		} else if x := g.decodeRow(c.Row); x != nil {
-			put = append(put, x)
+			rows = append(rows, tracker.Row{ID: c.Name(), Replica: x})
 		}
 	}
 	now := time.Now()
-	g.logChanges(g.tracker.Update(put, removed, now), version)
+	g.logChanges(g.tracker.Update(rows, now), version)
 	g.logChanges(g.tracker.Expire(now), version)
 }
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -100,16 +100,18 @@
 	return changes
 }
 
-// Update applies changed rows and the ids of removed ones, and returns what changed.
-func (t *Tracker) Update(put []*Replica, removed []string, now time.Time) []Change {
+// Update applies changes of the registry in their order and returns what changed. A row
+// that was removed and written again between two reads of the registry thus ends as written.
+func (t *Tracker) Update(rows []Row, now time.Time) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changes []Change
-	for _, r := range put {
-		changes = t.put(changes, r)
-	}
-	for _, id := range removed {
-		changes = t.remove(changes, id, now)
+	for _, r := range rows {
+		if r.Replica == nil {
+			changes = t.remove(changes, r.ID, now)
+		} else {
+			changes = t.put(changes, r.Replica)
+		}
 	}
 	t.updateUsable()
 	return changes
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -19,6 +19,12 @@
 	return &tracker.Replica{ID: id, Service: "s", Address: "10.0.0.1:80", StartedMS: 1, Slots: 4, Sequence: 1}
 }
 
+func written(r *tracker.Replica) []tracker.Row {
+	return []tracker.Row{{ID: r.ID, Replica: r}}
+}
+
+func removed(id string) []tracker.Row { return []tracker.Row{{ID: id}} }
+
 func newTracker() *tracker.Tracker {
 	t := tracker.New(tracker.Options{OutageGrace: grace})
 	t.Replace([]*tracker.Replica{replica("a"), replica("b")}, at(0))
@@ -31,15 +37,15 @@
 		steps func(t *tracker.Tracker)
 		want  int
 	}{
-		{"removed while the store is available", func(t *tracker.Tracker) { t.Update(nil, []string{"a"}, at(1)) }, 1},
+		{"removed while the store is available", func(t *tracker.Tracker) { t.Update(removed("a"), at(1)) }, 1},
 		{"draining", func(t *tracker.Tracker) {
 			d := replica("a")
 			d.Draining, d.Sequence = true, 2
-			t.Update([]*tracker.Replica{d}, nil, at(1))
+			t.Update(written(d), at(1))
 		}, 1},
 		{"removed in an outage", func(t *tracker.Tracker) {
 			t.StoreUnavailable()
-			t.Update(nil, []string{"a"}, at(1))
+			t.Update(removed("a"), at(1))
 			t.Expire(at(100))
 		}, 2},
 		{"missing just after an outage", func(t *tracker.Tracker) {
@@ -58,9 +64,18 @@
 			t.StoreUnavailable()
 			t.StoreRecovered(at(10))
 			t.Replace([]*tracker.Replica{replica("b")}, at(10))
-			t.Update([]*tracker.Replica{replica("a")}, nil, at(11))
+			t.Update(written(replica("a")), at(11))
+			t.Expire(at(13))
+		}, 2},
+		{"removed and written again between two reads", func(t *tracker.Tracker) {
+			t.StoreUnavailable()
+			t.StoreRecovered(at(10))
+			t.Update(append(removed("a"), written(replica("a"))...), at(10))
 			t.Expire(at(13))
 		}, 2},
+		{"written and removed between two reads", func(t *tracker.Tracker) {
+			t.Update(append(written(replica("a")), removed("a")...), at(1))
+		}, 1},
 		{"missing since an outage, within the grace period", func(t *tracker.Tracker) {
 			t.StoreUnavailable()
 			t.Replace(nil, at(1))
@@ -70,7 +85,7 @@
 		{"removed long after an outage", func(t *tracker.Tracker) {
 			t.StoreUnavailable()
 			t.StoreRecovered(at(10))
-			t.Update(nil, []string{"a"}, at(20))
+			t.Update(removed("a"), at(20))
 		}, 1},
 	}
 	for _, row := range rows {
@@ -88,11 +103,11 @@
 	k := newTracker()
 	restarted := replica("a")
 	restarted.StartedMS, restarted.Sequence, restarted.Address = 2, 1, "10.0.0.2:80"
-	changes := k.Update([]*tracker.Replica{restarted}, nil, at(1))
+	changes := k.Update(written(restarted), at(1))
 	is.Equal(len(changes), 1)
 	stale := replica("a")
 	stale.Sequence = 50
-	is.Equal(len(k.Update([]*tracker.Replica{stale}, nil, at(2))), 0)
+	is.Equal(len(k.Update(written(stale), at(2))), 0)
 	for _, r := range k.Usable("s") {
 		is.True(r.ID != "a" || r.StartedMS == 2)
 	}
