server,forwarder: [fix] a stopping daemon takes only what it can finish

Cause: a daemon took requests on open connections until 3.5 s after SIGTERM and cut what was in progress 0.7 s before the end of the grace time.

Change: from 2.8 s after the signal on, a request is taken only if its deadline lies before the end of the daemon; others are refused as not run, with a Retry-After of 20 ms, since another daemon takes them at once. What was taken may run until 250 ms before the end; budgets are settled meanwhile, from 700 ms before the end on.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -66,6 +66,8 @@
 	conns      *connector.Connector
 	meter      *meter
 	active     atomic.Int64
+	// shutdown is nil unless a planned stop has begun.
+	shutdown atomic.Pointer[shutdown]
 }
 
 // New returns a forwarder without connections.
@@ -166,6 +168,9 @@
 		timeout = min(timeout, r.Timeout)
 	}
 	j.deadline = q.Arrived.Add(timeout)
+	if fault := f.refuseWhenStopping(j); fault != nil {
+		return nil, fault
+	}
 	return j, nil
 }
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -168,10 +168,18 @@
 func (i ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	i.forwarder.Serve(r.Context(), w, &forwarder.Request{
 		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Hostname: "h", Path: r.URL.Path,
-		Header: http.Header{"Id": r.Header["Id"]}, Arrived: time.Now(), Timeout: 20 * time.Second,
+		Header: http.Header{"Id": r.Header["Id"]}, Arrived: time.Now(), Timeout: clientTimeout(r),
 	})
 }
 
+// clientTimeout returns the timeout that a client asks for, 20 s by default.
+func clientTimeout(r *http.Request) time.Duration {
+	if d, err := time.ParseDuration(r.Header.Get("Patience")); err == nil {
+		return d
+	}
+	return 20 * time.Second
+}
+
 func (d *daemon) put(key, value string) {
 	d.t.Helper()
 	if _, err := d.store.Commit(context.Background(), storer.Transaction{Writes: []storer.Write{{Key: key, Value: []byte(value)}}}); err != nil {
