tracker,selector,forwarder,platform: [feature] a replica that announced its end gets nothing more

Cause: a replica that leaves says so in all its responses (Server-Leaving); only the registry was asked, which may not know yet, or never.

The tracker marks the instance (id, birth and address): it is not usable, whatever its row says, and gone when its row goes, also in an outage. The coordinator that placed the request is told; one that does not know yet and offers the replica is told by the daemon that declines.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -104,6 +104,9 @@
 		Header: f.codec.EncodeRequest(q, meta), Body: body, Deadline: j.deadline, Limit: f.connectionLimit(j.service), Fresh: !j.route.Repeatable(),
 		Matches: func(r *http.Response) bool {
 			a = f.codec.DecodeResponse(r.StatusCode, r.Header)
+			if a.Leaving && !a.Misdirected && c.ReportLeaving() {
+				f.logger.Event("forwarder", "replica leaving").Str("id", q.ID).Str("replica", c.Replica.ID).Str("instance", c.Instance).Int("status", r.StatusCode).End()
+			}
 			return a.RequestID == q.ID
 		},
 	})
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -44,7 +44,7 @@
 }
 
 func (testCodec) DecodeResponse(status int, h http.Header) forwarder.ResponseMetadata {
-	return forwarder.ResponseMetadata{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	return forwarder.ResponseMetadata{RequestID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != ""}
 }
 
 func (testCodec) ClientHeader(h http.Header) http.Header { return h.Clone() }
--- a/internal/forwarder/wire.go
+++ b/internal/forwarder/wire.go
@@ -25,6 +25,8 @@
 	NotRun bool
 	// Misdirected reports that the address belongs to another instance.
 	Misdirected bool
+	// Leaving reports that the replica has begun a planned stop.
+	Leaving bool
 	// Load is the replica's load; it is valid only if HasLoad is set.
 	Load ranker.Load
 	// HasLoad reports that the response carries a load report.
--- a/internal/selector/coordinator.go
+++ b/internal/selector/coordinator.go
@@ -42,6 +42,8 @@
 	// Ended is set if the request has ended with Outcome.
 	Ended   bool
 	Outcome Outcome
+	// Leaving is set if the replica announced its end.
+	Leaving bool
 }
 
 // ReportRequest carries reports in the order in which they were made.
@@ -84,6 +86,10 @@
 		if !ok {
 			continue
 		}
+		if p.Leaving && s.views.tracker.Leave(instance, time.Now()) {
+			// In logs, "seater" is the selector.
+			s.logger.Event("seater", "replica leaving").Str("instance", instance).Str("placement", p.ID).End()
+		}
 		if p.Loaded {
 			s.views.reportLoad(instance, p.Load)
 		}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -148,7 +148,7 @@
 	c := &Choice{Placement: r.Seat, CoordinatorName: coordinator.Name, selector: s, coordinator: coordinator, id: p.ID}
 	if c.Replica = s.views.begin(q.Service, q.Work, r.Seat.Instance); c.Replica == nil {
 		// The replica is usable at the coordinator, but not yet or no longer here.
-		s.reporter.enqueue(coordinator, Report{ID: p.ID, Ended: true, Outcome: Unknown})
+		s.reporter.enqueue(coordinator, Report{ID: p.ID, Ended: true, Outcome: Unknown, Leaving: s.views.tracker.IsLeaving(r.Seat.Instance)})
 		return nil
 	}
 	return c
@@ -163,6 +163,16 @@
 	}
 }
 
+// ReportLeaving records that the replica announced its end, and reports it to the
+// coordinator if that chose the replica. It returns true for the first announcement.
+func (c *Choice) ReportLeaving() bool {
+	first := c.selector.views.tracker.Leave(c.Instance, time.Now())
+	if c.id != "" {
+		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Leaving: true})
+	}
+	return first
+}
+
 // End records the end of the request, and reports it to the coordinator if that chose
 // the replica.
 func (c *Choice) End(outcome Outcome) {
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -176,3 +176,42 @@
 		}
 	})
 }
+
+// TestALeavingReplicaGetsNothingMore guards against a replica that announced its end to one
+// daemon and is offered to it again by a coordinator that does not know yet: the daemon
+// does not use it, tells the coordinator, and the coordinator offers it to nobody.
+func TestALeavingReplicaGetsNothingMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newZone(3, 2, 4, false)
+		defer z.stop()
+		coordinator := z.coordinator()
+		var callers []*daemon
+		for _, d := range z.daemons {
+			if d != coordinator {
+				callers = append(callers, d)
+			}
+		}
+		coordinator.dropsReports.Store(true)
+		c, ok := callers[0].selector.Choose(context.Background(), newRequest())
+		is.True(ok)
+		is.True(c.ReportLeaving())
+		c.End(selector.Served)
+		time.Sleep(time.Second)
+		coordinator.dropsReports.Store(false) // The report was lost.
+		for range 60 {                        // The coordinator offers either replica, as soon as it no longer counts the first request.
+			other, ok := callers[0].selector.Choose(context.Background(), newRequest())
+			is.True(ok)
+			is.True(other.Instance != c.Instance)
+			other.End(selector.Served)
+			time.Sleep(time.Second)
+		}
+		for range 10 {
+			other, ok := callers[1].selector.Choose(context.Background(), newRequest())
+			is.True(ok)
+			is.Equal(other.CoordinatorName, coordinator.address)
+			is.True(other.Instance != c.Instance) // The coordinator has learned it.
+			other.End(selector.Served)
+		}
+	})
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// leavingRetention is how long the announced end of an instance is remembered. It is much
+// longer than a planned stop of a replica takes.
+const leavingRetention = 10 * time.Minute
+
 // Change is a change of the state of one replica, for logging.
 type Change struct {
 	Replica *Replica
@@ -33,6 +37,8 @@
 	mu      sync.RWMutex
 	entries map[string]*entry
 	usable  map[string][]*Replica
+	// leaving holds the instances that announced their end, and when they did.
+	leaving map[string]time.Time
 	// recoveredAt is when the last outage of the store ended, zero if there was none.
 	recoveredAt      time.Time
 	storeUnavailable bool
@@ -40,7 +46,7 @@
 
 // New returns an empty tracker.
 func New(o Options) *Tracker {
-	return &Tracker{options: o, entries: map[string]*entry{}, usable: map[string][]*Replica{}}
+	return &Tracker{options: o, entries: map[string]*entry{}, usable: map[string][]*Replica{}, leaving: map[string]time.Time{}}
 }
 
 // Usable returns the replicas of a service that can receive new requests. The slice must not
@@ -51,6 +57,27 @@
 	return t.usable[service]
 }
 
+// Leave records that an instance announced its end. It receives no new requests from then
+// on, whatever its row says. It returns false if that was known.
+func (t *Tracker) Leave(instance string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.leaving[instance]; known {
+		return false
+	}
+	t.leaving[instance] = now
+	t.updateUsable()
+	return true
+}
+
+// IsLeaving reports whether an instance announced its end.
+func (t *Tracker) IsLeaving(instance string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	_, known := t.leaving[instance]
+	return known
+}
+
 // Len returns the number of known replicas, usable or not.
 func (t *Tracker) Len() int {
 	t.mu.RLock()
@@ -122,6 +149,11 @@
 func (t *Tracker) Expire(now time.Time) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for instance, since := range t.leaving {
+		if now.Sub(since) > leavingRetention {
+			delete(t.leaving, instance)
+		}
+	}
 	if t.storeUnavailable {
 		return nil
 	}
@@ -166,7 +198,7 @@
 	return changes
 }
 
-// remove handles a missing row. It removes the replica at once if it is draining, or if the
+// remove handles a missing row. It removes the replica at once if it is stopping, or if the
 // store is available and the grace period of the last outage is over. Otherwise the row may
 // have expired in the outage, and the replica stays usable until the grace period ends.
 func (t *Tracker) remove(changes []Change, id string, now time.Time) []Change {
@@ -175,7 +207,8 @@
 		return changes
 	}
 	graceEnd := t.recoveredAt.Add(t.options.OutageGrace)
-	if !t.storeUnavailable && (t.recoveredAt.IsZero() || !now.Before(graceEnd)) || e.replica.Draining {
+	_, leaving := t.leaving[e.replica.instance]
+	if !t.storeUnavailable && (t.recoveredAt.IsZero() || !now.Before(graceEnd)) || e.replica.Draining || leaving {
 		delete(t.entries, id)
 		return append(changes, Change{e.replica, "removed"})
 	}
@@ -187,7 +220,7 @@
 func (t *Tracker) updateUsable() {
 	usable := make(map[string][]*Replica, len(t.usable))
 	for _, e := range t.entries {
-		if !e.replica.Draining {
+		if _, leaving := t.leaving[e.replica.instance]; !leaving && !e.replica.Draining {
 			usable[e.replica.Service] = append(usable[e.replica.Service], e.replica)
 		}
 	}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -112,3 +112,57 @@
 		is.True(r.ID != "a" || r.StartedMS == 2)
 	}
 }
+
+// TestALeavingReplicaStaysUnusable guards against a replica that has announced its end and
+// is used again because of a registry that does not know yet: its row still says ready, or
+// returns after an outage. Another instance with the same id is another replica.
+func TestALeavingReplicaStaysUnusable(t *testing.T) {
+	rows := []struct {
+		name  string
+		steps func(t *tracker.Tracker)
+		want  int
+	}{
+		{"nothing more is heard", func(*tracker.Tracker) {}, 1},
+		{"the row says ready", func(t *tracker.Tracker) {
+			r := replica("a")
+			r.Sequence = 9
+			t.Update(written(r), at(2))
+		}, 1},
+		{"the row expires and returns", func(t *tracker.Tracker) {
+			t.Update(removed("a"), at(2))
+			t.Replace([]*tracker.Replica{replica("a"), replica("b")}, at(3))
+		}, 1},
+		{"a later instance at the same address", func(t *tracker.Tracker) {
+			r := replica("a")
+			r.StartedMS = 2
+			t.Update(written(r), at(2))
+		}, 2},
+		{"another replica at the same address", func(t *tracker.Tracker) { t.Update(written(replica("c")), at(2)) }, 2},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			k := newTracker()
+			a := replica("a")
+			k.Update(written(a), at(0))
+			is.True(k.Leave(a.Instance(), at(1)))
+			is.True(!k.Leave(a.Instance(), at(1))) // Only the first announcement is news.
+			row.steps(k)
+			k.Expire(at(10))
+			is.Equal(len(k.Usable("s")), row.want)
+		})
+	}
+}
+
+// TestALeavingReplicaIsGoneWithItsRow guards against a leaving replica that counts as
+// possibly alive because its row was removed in an outage.
+func TestALeavingReplicaIsGoneWithItsRow(t *testing.T) {
+	is := is.New(t)
+	k := newTracker()
+	a := replica("a")
+	k.Update(written(a), at(0))
+	k.Leave(a.Instance(), at(1))
+	k.StoreUnavailable()
+	k.Update(removed("a"), at(2))
+	is.Equal(k.Len(), 1)
+}
