connector,forwarder: [fix] responses without end are given up in bytes and time

Cause: the head of a response was read without a bound until the client's deadline, a refusal's body was drained for as long before the request went to another replica, and an event of many short lines had no bound (the 1 MiB bound was checked on long lines).

Change: a head may take 64 KiB; a body that is not forwarded is dropped after 50 ms; the bound of an event counts all its lines.

--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -5,18 +5,46 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
+// errHeadTooLong is returned if a replica sends more than maxHeadBytes without completing
+// the head of a response.
+var errHeadTooLong = errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
+
 // conn is one connection to a replica.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// inHead is set while the head of a response is read, and headLeft is the number of
+	// bytes that may still be read for it. A replica in trouble may send bytes without end.
+	inHead   bool
+	headLeft int
 	// lastUsed is when the last exchange ended, and idleTimeout how long the connection
 	// may be idle after that.
 	lastUsed    time.Time
 	idleTimeout time.Duration
 }
 
+// beginHead limits the bytes that are read until endHead is called.
+func (c *conn) beginHead() { c.inHead, c.headLeft = true, maxHeadBytes }
+
+func (c *conn) endHead() { c.inHead = false }
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.inHead {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 // healthy reports whether an idle connection is still open and has no unread bytes.
 func (c *conn) healthy() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -14,6 +14,8 @@
 
 const (
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response, and what the read buffer takes beyond it.
+	maxHeadBytes = 64 << 10
 	// dialTimeout allows for one lost SYN packet, which is retransmitted after a second.
 	dialTimeout = 1500 * time.Millisecond
 	// userTimeout is the time after which a connection with unacknowledged bytes is closed.
@@ -147,7 +149,9 @@
 		c.failed.Add(1)
 		return nil, err
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	x := &conn{Conn: n, idleTimeout: defaultIdleTimeout}
+	x.reader = bufio.NewReaderSize(x, readBufferBytes)
+	return x, nil
 }
 
 // uncount removes a connection that could not be opened from the count of its pool.
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -112,7 +112,9 @@
 func (e *Exchange) receive(q *Call) error {
 	request := &http.Request{Method: q.Method}
 	for range maxSkippedResponses {
+		e.conn.beginHead()
 		resp, err := http.ReadResponse(e.conn.reader, request)
+		e.conn.endHead()
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
@@ -141,6 +143,17 @@
 	return n, err
 }
 
+// Discard reads and drops the rest of the body, so that the connection can be reused. It
+// gives up after a number of bytes or a time, since the body may have no end.
+func (e *Exchange) Discard(maxBytes int64, timeout time.Duration) error {
+	_ = e.conn.SetReadDeadline(time.Now().Add(timeout))
+	n, err := io.Copy(io.Discard, io.LimitReader(e, maxBytes))
+	if err == nil && n == maxBytes {
+		err = errors.Errorf("body exceeds %d bytes", maxBytes)
+	}
+	return err
+}
+
 // Close ends the exchange. Its connection is reused only if the exchange is complete.
 func (e *Exchange) Close() {
 	if e.closed {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -21,6 +21,9 @@
 	// maxBufferedResponse is the size in bytes up to which a non-streaming response is
 	// buffered before it is forwarded.
 	maxBufferedResponse = 256 << 10
+	// discardTimeout bounds the read of a response that is not forwarded. The request waits
+	// for it before it is sent to another replica.
+	discardTimeout = 50 * time.Millisecond
 	// noUrgency sends no urgency, so that the replica uses its own default.
 	noUrgency = -1
 )
@@ -153,7 +156,7 @@
 
 // discard drains a response that is not forwarded, so that its connection can be reused.
 func (f *Forwarder) discard(e *connector.Exchange) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(e, maxBufferedResponse)); err != nil {
+	if err := e.Discard(maxBufferedResponse, discardTimeout); err != nil {
 		f.logger.Event("forwarder", "refusal broke off").Err(err).End()
 	}
 }
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -74,12 +74,12 @@
 		chunk, err := s.reader.ReadSlice('\n')
 		s.raw = append(s.raw, chunk...)
 		switch {
+		case len(s.raw) > maxEventBytes:
+			return nil, errors.Errorf("event is longer than %d bytes", maxEventBytes)
 		case err == nil:
 			return s.raw[start:], nil
 		case err != bufio.ErrBufferFull:
 			return nil, err
-		case len(s.raw) > maxEventBytes:
-			return nil, errors.Errorf("event is longer than %d bytes", maxEventBytes)
 		}
 	}
 }
