storer,platform: [fix] writes above the store's rate are paced, not repeated at once

Change: a daemon spaces its writes once one was throttled; the interval doubles with throttled writes (8 to 100 ms) and falls by 0.85 with accepted ones.

--- a/internal/storer/errors.go
+++ b/internal/storer/errors.go
@@ -20,6 +20,10 @@
 // written.
 var ErrRefused = errors.New("storer: request refused")
 
+// ErrThrottled is an ErrRefused for a request above the rate that the store serves. An
+// immediate retry adds to the load.
+var ErrThrottled = errors.WithMessage(ErrRefused, "storer: above the store's rate")
+
 // ErrOutage is an ErrRefused returned without sending the request during an outage of the
 // store or of one of its partitions. An immediate retry fails too.
 var ErrOutage = errors.WithMessage(ErrRefused, "storer: store outage")
--- a/internal/storer/guard.go
+++ b/internal/storer/guard.go
@@ -41,6 +41,8 @@
 	feed   Feed
 	limits Limits
 
+	pacer pacer
+
 	reads, commits, lists, changes, refused atomic.Int64
 
 	mu sync.Mutex
@@ -188,12 +190,19 @@
 	})
 }
 
-// Commit implements Table; it does not retry, since a failed attempt may be in doubt.
+// Commit implements Table; it does not retry, since a failed attempt may be in doubt. It
+// waits while the store serves fewer writes than it gets.
 func (g *Guard) Commit(ctx context.Context, tx Transaction) (uint64, error) {
-	return attempt(ctx, g, tx.key(), func(ctx context.Context) (uint64, error) {
+	if err := g.pacer.wait(ctx); err != nil {
+		g.refused.Add(1)
+		return 0, err
+	}
+	version, err := attempt(ctx, g, tx.key(), func(ctx context.Context) (uint64, error) {
 		g.commits.Add(1)
 		return g.table.Commit(ctx, tx)
 	})
+	g.pacer.record(err)
+	return version, err
 }
 
 // attempt makes one call with the guard's timeout and records its result.
