granter,storer: [fix] while the store throttles, only the coordinator writes

Cause: a coordinator that had to wait for a throttled write answered that it could not open the turn, or was left after 150 ms as unresponsive.

Change: a coordinator says that the store throttles; the daemon then refuses the turn as not run and doesn't write. The timeout of a coordinator is 300 ms, of which it leaves 40 ms for its reply.

ranker, prioritizer, forwarder: the order of requests under load

Change: requests carry an urgency by the time that their program has left, missed ones last; a prompt's reading time is weighed with the requests that it delays at the replica; load reports count for 4 s.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -89,7 +89,7 @@
 func (f *Forwarder) sendOnce(ctx context.Context, w http.ResponseWriter, j *job, c *selector.Choice) result {
 	j.cause = nil
 	q := j.request
-	meta := RequestMetadata{ReplicaID: c.Replica.ID, Urgency: noUrgency}
+	meta := RequestMetadata{ReplicaID: c.Replica.ID, Urgency: j.urgency()}
 	if q.Timeout > 0 {
 		meta.Remaining = time.Until(j.deadline)
 		if meta.Remaining <= 0 {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/granter"
 	"pimentorail.example/pimentorail/internal/logger"
+	"pimentorail.example/pimentorail/internal/prioritizer"
 	"pimentorail.example/pimentorail/internal/ranker"
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/pkg/classifier"
@@ -114,6 +115,15 @@
 	cause                   error
 }
 
+// urgency returns the request's urgency at its replica, or noUrgency if it belongs to no
+// program or its replicas have no order by urgency.
+func (j *job) urgency() int {
+	if j.request.Program == "" || !j.service.Model {
+		return noUrgency
+	}
+	return int(prioritizer.Of(j.request.FinishWithin - time.Since(j.request.Arrived)))
+}
+
 // Serve proxies one request. If the response fails after a part of it has been sent, Serve
 // panics with http.ErrAbortHandler, which closes the client's connection.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, q *Request) {
--- a/internal/granter/fixture_test.go
+++ b/internal/granter/fixture_test.go
@@ -50,6 +50,8 @@
 	storer.Table
 	mu      sync.Mutex
 	commits int
+	// throttled makes the store refuse all writes as above its rate.
+	throttled atomic.Bool
 }
 
 // Commit implements storer.Table.
@@ -57,6 +59,9 @@
 	c.mu.Lock()
 	c.commits++
 	c.mu.Unlock()
+	if c.throttled.Load() {
+		return 0, storer.ErrThrottled
+	}
 	return c.Table.Commit(ctx, tx)
 }
 
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -15,12 +15,16 @@
 	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/messenger"
+	"pimentorail.example/pimentorail/internal/storer"
 )
 
 const (
 	// coordinatorTimeout bounds a call to the coordinator. It is many times what a store
 	// read, a store write and the round trip take. After it, this daemon opens the turn.
-	coordinatorTimeout = 150 * time.Millisecond
+	coordinatorTimeout = 300 * time.Millisecond
+	// replyMargin is the part of coordinatorTimeout that is left for the reply, so that a
+	// coordinator that waits for the store is not mistaken for an unresponsive one.
+	replyMargin = 40 * time.Millisecond
 	// expirePeriod is the interval between two scans for grants that were never closed.
 	expirePeriod = time.Second
 	// expireMargin is the time from the end of a request until the tokens of its unclosed
@@ -188,7 +192,7 @@
 // nor an error if this daemon should open the turn itself.
 func (s *Granter) openAtCoordinator(ctx context.Context, coordinator assigner.Peer, t Turn) (*Grant, error) {
 	id := s.options.Name + "." + strconv.FormatInt(s.sequence.Add(1), 10)
-	q := OpenRequest{ID: id, Turn: t, Left: coordinatorTimeout}
+	q := OpenRequest{ID: id, Turn: t, Left: coordinatorTimeout - replyMargin}
 	cached, ok := s.turns.CachedChain(t.Parent)
 	if ok {
 		q.Turn.History = false
@@ -201,6 +205,9 @@
 		switch {
 		case err != nil || r.Outcome == Closed:
 			return nil, s.coordinatorFailed(ctx, coordinator, id, t, err)
+		case r.Outcome == Refused && r.Throttled:
+			s.coordinators.Answered(coordinator.Address)
+			return nil, errors.WithMessagef(storer.ErrThrottled, "open turn at coordinator %s", coordinator.Name)
 		case r.Outcome == Refused:
 			return nil, nil
 		}
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -14,10 +14,12 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/emulator"
 	"pimentorail.example/pimentorail/internal/granter"
 	"pimentorail.example/pimentorail/internal/seeder"
+	"pimentorail.example/pimentorail/internal/storer"
 )
 
 func TestMain(m *testing.M) {
@@ -135,6 +137,32 @@
 	})
 }
 
+// TestAThrottledStoreGetsNoMoreWrites guards against a daemon that opens a turn itself
+// because the coordinator has to wait for a store that serves fewer writes than it gets: its
+// own writes are more of them, and the program's budget then has one more holder.
+func TestAThrottledStoreGetsNoMoreWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newZone(2, 0, rand.New(rand.NewPCG(1, 1)))
+		defer z.stop()
+		coordinator, caller := z.daemons[1], z.daemons[0]
+		coordinator.table.throttled.Store(true)
+		refused := 0
+		for i := range 40 {
+			turn := newTurn(fmt.Sprint(i), "", maxTurnTokens)
+			turn.Program = fmt.Sprintf("p%d", i)
+			if _, remote := assigner.New(caller.address, caller).Of(turn.Program); !remote {
+				continue
+			}
+			_, err := caller.granter.Open(context.Background(), turn)
+			is.True(errors.Is(err, storer.ErrThrottled))
+			refused++
+		}
+		is.Equal(caller.table.commits, 0)
+		is.True(refused > 5)
+	})
+}
+
 // TestUnusedTokensComeBack checks that the unused tokens of a closed turn become available
 // again, unless the coordinator never receives the close call.
 func TestUnusedTokensComeBack(t *testing.T) {
--- a/internal/granter/service.go
+++ b/internal/granter/service.go
@@ -9,6 +9,7 @@
 
 	"pimentorail.example/pimentorail/internal/archivist"
 	"pimentorail.example/pimentorail/internal/budgeter"
+	"pimentorail.example/pimentorail/internal/storer"
 )
 
 const (
@@ -51,6 +52,9 @@
 // OpenReply answers an OpenRequest.
 type OpenReply struct {
 	Outcome Outcome
+	// Throttled is set with Refused if the store serves fewer writes than it gets. The caller
+	// then refuses the turn, since its own writes would only be more of them.
+	Throttled bool
 	// Turns is the history, oldest turn first.
 	Turns []archivist.Turn
 }
@@ -96,6 +100,7 @@
 		r.Outcome = Exhausted
 		return nil
 	case err != nil:
+		r.Throttled = errors.Is(err, storer.ErrThrottled)
 		s.logger.Event("steward", "not opened for a peer").Str("id", q.Turn.ID).Err(err).End()
 		return nil
 	}
--- /dev/null
+++ b/internal/prioritizer/urgency.go
@@ -0,0 +1,39 @@
+package prioritizer
+
+import "time"
+
+// Urgency is the rank of a request at its replica, from 0, the most urgent, to 9.
+type Urgency int
+
+const (
+	// Usual is the urgency that a replica assumes for a request without one.
+	Usual Urgency = 5
+	// Missed is the urgency of a program that has missed its target. It is still served,
+	// but delays no other.
+	Missed Urgency = 9
+	// mostUrgent leaves ranks for requests that operators send.
+	mostUrgent Urgency = 2
+)
+
+const (
+	// minTurn is the time that a turn takes at least. A program with less time left than
+	// that misses its target.
+	minTurn = 100 * time.Millisecond
+	// firstBound is the upper bound of the time left at the urgency mostUrgent. Each
+	// further bound is twice the one before, since a program's time left falls with each of
+	// its turns, so that programs under way go before those that begin.
+	firstBound = 500 * time.Millisecond
+)
+
+// Of returns the urgency of a request of a program that has the given time left until its
+// target.
+func Of(left time.Duration) Urgency {
+	if left < minTurn {
+		return Missed
+	}
+	u := mostUrgent
+	for bound := firstBound; u < Usual && left >= bound; bound *= 2 {
+		u++
+	}
+	return u
+}
--- a/internal/ranker/choose.go
+++ b/internal/ranker/choose.go
@@ -15,6 +15,10 @@
 	PlainRequest float64
 	// Contention is the time that a model request loses when all slots are busy.
 	Contention float64
+	// Interference weights the delay of the requests that run at the replica while it reads
+	// the prompt, relative to the request's own. A read also evicts parts that other prompts
+	// share, and these are read again.
+	Interference float64
 	// CrossZonePerKB is the penalty for each kilobyte sent to another zone, and
 	// CrossZoneLatency the network latency to another zone.
 	CrossZonePerKB, CrossZoneLatency float64
@@ -23,7 +27,7 @@
 // DefaultCosts are rough values for the engine of a large model. Only their ratios
 // matter, since the same values rank all replicas of a service.
 var DefaultCosts = Costs{
-	PrefillPerToken: 1.0 / 256, DecodePerToken: 0.95, PlainRequest: 15, Contention: 40, CrossZonePerKB: 0.6, CrossZoneLatency: 2.8,
+	PrefillPerToken: 1.0 / 256, DecodePerToken: 0.95, PlainRequest: 15, Contention: 40, Interference: 6, CrossZonePerKB: 0.6, CrossZoneLatency: 2.8,
 }
 
 // preferredView returns the view of the preferred replica of a prompt: the replica to
@@ -61,7 +65,8 @@
 		if cached == 0 && preferred {
 			cached = w.Parts[0].Tokens / 2
 		}
-		service += float64(max(0, w.Prompt-cached)) * c.PrefillPerToken
+		prefill := float64(max(0, w.Prompt-cached)) * c.PrefillPerToken
+		service += prefill * (1 + c.Interference*min(busy, slots))
 		service += c.Contention * min(busy, slots) / slots
 	}
 	slow := v.Slowness(now)
--- a/internal/ranker/view.go
+++ b/internal/ranker/view.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// loadDecay is the age at which a load report no longer counts.
-	loadDecay = 700 * time.Millisecond
+	// loadDecay is the age at which a load report no longer counts. In a crest the requests
+	// that it counts last for seconds.
+	loadDecay = 4 * time.Second
 	// slownessDecay is the age at which a reported slowness no longer counts.
 	slownessDecay = 600 * time.Millisecond
 	// minPenalty is how long a replica is avoided after its first consecutive failure;
--- a/internal/storer/pacer.go
+++ b/internal/storer/pacer.go
@@ -48,7 +48,7 @@
 	if deadline, ok := ctx.Deadline(); ok && at.After(deadline) {
 		interval := p.interval
 		p.mu.Unlock()
-		return errors.Wrapf(ErrRefused, "writes are paced at %v, the next is due after the deadline", interval)
+		return errors.Wrapf(ErrThrottled, "writes are paced at %v, the next is due after the deadline", interval)
 	}
 	p.next = at.Add(p.interval)
 	p.mu.Unlock()
@@ -56,7 +56,7 @@
 	case <-time.After(at.Sub(now)):
 		return nil
 	case <-ctx.Done():
-		return errors.Wrap(ErrRefused, "the deadline passed before the write was due")
+		return errors.Wrap(ErrThrottled, "the deadline passed before the write was due")
 	}
 }
 
