--- a/internal/prioritizer/urgency.go
+++ b/internal/prioritizer/urgency.go
@@ -11,7 +11,7 @@
 	// Missed is the urgency of a program that has missed its target. It is still served,
 	// but delays no other.
 	Missed Urgency = 9
-	// mostUrgent leaves ranks for requests that operators send.
+	// mostUrgent is the urgency of a program that is about to miss its target.
 	mostUrgent Urgency = 2
 )
 
--- a/internal/ranker/choose.go
+++ b/internal/ranker/choose.go
@@ -15,9 +15,10 @@
 	PlainRequest float64
 	// Contention is the time that a model request loses when all slots are busy.
 	Contention float64
-	// Interference weights the delay of the requests that run at the replica while it reads
-	// the prompt, relative to the request's own. A read also evicts parts that other prompts
-	// share, and these are read again.
+	// Interference weights the time for which each request that runs at the replica stands
+	// still while the replica reads the prompt, relative to the time that the request itself
+	// waits for the read. It is above one because a read also evicts parts that other
+	// prompts share, and these are read again.
 	Interference float64
 	// CrossZonePerKB is the penalty for each kilobyte sent to another zone, and
 	// CrossZoneLatency the network latency to another zone.
--- a/internal/ranker/view.go
+++ b/internal/ranker/view.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// loadDecay is the age at which a load report no longer counts. In a crest the requests
-	// that it counts last for seconds.
+	// loadDecay is the age at which a load report no longer counts. In a load peak the
+	// requests that a report counts stay at the replica for seconds.
 	loadDecay = 4 * time.Second
 	// slownessDecay is the age at which a reported slowness no longer counts.
 	slownessDecay = 600 * time.Millisecond
