--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -40,6 +40,7 @@
 	h.Del("Content-Length") // The connector sets the length, which includes the history.
 	h.Set("Instance", m.ReplicaID)
 	h.Set("Left", fmt.Sprint(m.Remaining.Milliseconds()))
+	h.Set("Urgency", fmt.Sprint(m.Urgency))
 	return h
 }
 
@@ -55,6 +56,7 @@
 	target    string
 	body      string
 	remaining string
+	urgency   string
 }
 
 // fixture runs a forwarder in front of replicas with given behaviours.
@@ -109,7 +111,7 @@
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: cataloger.Unsafe, MaxRuns: 2, Shares: share, Timeout: 20 * time.Second},
 		{Name: "turn", Host: "h", Prefix: "/turn/", Kind: cataloger.Streaming, MaxRuns: 1, Retain: true, Shares: share, Timeout: 20 * time.Second},
 		{Name: "gone", Host: "h", Prefix: "/gone/", Kind: cataloger.Safe, Shares: []cataloger.Share{{Service: "none", Weight: 1}}},
-	}, []*cataloger.Service{{Name: "s", EventTokens: 10}}, cataloger.Limits{}))
+	}, []*cataloger.Service{{Name: "s", EventTokens: 10, Model: true}}, cataloger.Limits{}))
 	return f
 }
 
@@ -117,7 +119,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		f.mu.Lock()
-		f.arrivals = append(f.arrivals, arrival{replica: i, target: r.RequestURI, body: string(body), remaining: r.Header.Get("Left")})
+		f.arrivals = append(f.arrivals, arrival{replica: i, target: r.RequestURI, body: string(body), remaining: r.Header.Get("Left"), urgency: r.Header.Get("Urgency")})
 		n := len(f.arrivals)
 		f.mu.Unlock()
 		w.Header().Set("Id", r.Header.Get("Id"))
@@ -137,6 +139,8 @@
 	if p := r.Header.Get("Patience"); p != "" {
 		q.Timeout, _ = time.ParseDuration(p)
 	}
+	q.Program = r.Header.Get("Program")
+	q.FinishWithin, _ = time.ParseDuration(r.Header.Get("Finish"))
 	if b := r.Header.Get("Budget"); b != "" {
 		q.Program, q.Budgeted = "p", true
 		_, _ = fmt.Sscan(b, &q.Budget)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -115,10 +115,10 @@
 	cause                   error
 }
 
-// urgency returns the request's urgency at its replica, or noUrgency if it belongs to no
-// program or its replicas have no order by urgency.
+// urgency returns the request's urgency at its replica, or noUrgency if its program's
+// finish time is not known or its replicas have no order by urgency.
 func (j *job) urgency() int {
-	if j.request.Program == "" || !j.service.Model {
+	if j.request.FinishWithin == 0 || !j.service.Model {
 		return noUrgency
 	}
 	return int(prioritizer.Of(j.request.FinishWithin - time.Since(j.request.Arrived)))
--- a/internal/forwarder/leaving_test.go
+++ b/internal/forwarder/leaving_test.go
@@ -18,7 +18,7 @@
 
 // TestALeavingReplicaGetsNoRequests guards against requests that reach a replica after it
 // announced its end in a response, while the registry still lists it as ready. Each row is
-// a kind of response with the announcement, and the requests that may reach the replica.
+// a kind of response with the announcement; each replica may get one request.
 func TestALeavingReplicaGetsNoRequests(t *testing.T) {
 	rows := []struct {
 		name      string
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -22,7 +22,8 @@
 	Timeout time.Duration
 
 	// Program, Session and FinishWithin describe the agent program: its id, the id of
-	// its chain of turns, and the remaining time in which it should finish.
+	// its chain of turns, and the remaining time in which it should finish: zero if that is
+	// not known, negative if the time has passed.
 	Program, Session string
 	FinishWithin     time.Duration
 	// Budget is the number of tokens that the program may generate; it applies only if
