--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -102,7 +102,7 @@
 func (f *Follower) update(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.options.LongPoll+f.options.Timeout)
 	defer cancel()
-	if !f.listed || !f.verifyAt.IsZero() && time.Now().After(f.verifyAt) {
+	if !f.listed || f.verifyDue() {
 		return f.list(ctx)
 	}
 	changes, version, err := f.feed.Changes(ctx, f.options.Table, f.version, f.options.LongPoll)
@@ -123,6 +123,9 @@
 	return nil
 }
 
+// verifyDue reports whether the table is to be listed again after an outage.
+func (f *Follower) verifyDue() bool { return !f.verifyAt.IsZero() && time.Now().After(f.verifyAt) }
+
 // list reads the complete table.
 func (f *Follower) list(ctx context.Context) error {
 	rows, version, err := f.feed.List(ctx, f.options.Table)
@@ -133,7 +136,7 @@
 		f.reportTransition(nil)
 	}
 	f.listed, f.version = true, version
-	if !f.verifyAt.IsZero() && time.Now().After(f.verifyAt) {
+	if f.verifyDue() {
 		f.verifyAt = time.Time{}
 	}
 	f.sink.Replace(rows, version)
--- a/internal/prioritizer/urgency.go
+++ b/internal/prioritizer/urgency.go
@@ -8,16 +8,16 @@
 const (
 	// Usual is the urgency that a replica assumes for a request without one.
 	Usual Urgency = 5
-	// Missed is the urgency of a program that has missed its target. It is still served,
+	// Missed is the urgency of a program that has missed its finish time. It is still served,
 	// but delays no other.
 	Missed Urgency = 9
-	// mostUrgent is the urgency of a program that is about to miss its target.
+	// mostUrgent is the urgency of a program that is about to miss its finish time.
 	mostUrgent Urgency = 2
 )
 
 const (
 	// minTurn is the time that a turn takes at least. A program with less time left than
-	// that misses its target.
+	// that misses its finish time.
 	minTurn = 100 * time.Millisecond
 	// firstBound is the upper bound of the time left at the urgency mostUrgent. Each
 	// further bound is twice the one before, since a program's time left falls with each of
@@ -25,8 +25,8 @@
 	firstBound = 500 * time.Millisecond
 )
 
-// Of returns the urgency of a request of a program that has the given time left until its
-// target.
+// Of returns the urgency of a request of a program that has the given time left until it
+// should be finished.
 func Of(left time.Duration) Urgency {
 	if left < minTurn {
 		return Missed
--- a/internal/prioritizer/urgency_test.go
+++ b/internal/prioritizer/urgency_test.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// TestUrgencyRises draws two times left: unless its target is missed, a program with less
-// time is at least as urgent, and no program is more urgent than the usual rank allows.
+// TestUrgencyRises draws two times left: a program with less time is at least as urgent unless
+// it has missed its finish time, and only those that have are less urgent than usual.
 func TestUrgencyRises(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		less := time.Duration(rapid.Int64Range(-1e10, 1e11).Draw(rt, "less"))
--- a/internal/ranker/crest_test.go
+++ b/internal/ranker/peak_test.go
@@ -14,26 +14,26 @@
 	"pimentorail.example/pimentorail/internal/ranker"
 )
 
-// The crest: five zones ask for twice what their engines can serve, for four seconds, after
-// and before a calm time.
+// The load peak: five zones ask for more than their engines can serve, for four seconds, with
+// a calm time before and after.
 const (
-	crestZones       = 5
-	enginesPerZone   = 5
-	engineSlots      = 8
-	engineMemory     = 220_000
-	sharedParts      = 16
-	sharedTokens     = 12_600
-	turnTokens       = 1_500
-	outputTokens     = 250
-	crestLength      = 12 * time.Second
-	crestBegins      = 2 * time.Second
-	crestEnds        = 6 * time.Second
-	calmRate         = 0.05 // programs a millisecond
-	crestRate        = 0.2
-	clientTimeout    = 3 * time.Second
-	millisPerToken   = 0.96
-	tokensPerMilli   = 256.0
-	turnLatencyShare = 1.5 // of a program's time on idle engines is its target
+	peakZones      = 5
+	enginesPerZone = 5
+	engineSlots    = 8
+	engineMemory   = 220_000
+	sharedParts    = 16
+	sharedTokens   = 12_600
+	turnTokens     = 1_500
+	outputTokens   = 250
+	replayLength   = 12 * time.Second
+	peakBegins     = 2 * time.Second
+	peakEnds       = 6 * time.Second
+	calmRate       = 0.05 // programs a millisecond
+	peakRate       = 0.2
+	clientTimeout  = 3 * time.Second
+	millisPerToken = 0.96
+	tokensPerMilli = 256.0
+	finishFactor   = 1.5 // of a program's time on idle engines is the time that it has
 )
 
 // program is one agent program: turns one after the other, each with all that was said
@@ -41,7 +41,7 @@
 type program struct {
 	zone, turns, done int
 	prefix            string
-	target            time.Duration
+	finishBy          time.Duration
 	tokens            int
 	id                string
 }
@@ -65,9 +65,8 @@
 	reading          float64
 }
 
-// crest replays the load with the given costs, with or without urgencies, and returns the
-// number of programs that end before their target, and the number of all.
-type crest struct {
+// peak is a replay of the load with the given costs, with or without urgencies.
+type peak struct {
 	costs    ranker.Costs
 	urgent   bool
 	random   *rand.Rand
@@ -78,12 +77,12 @@
 	programs int
 }
 
-func newCrest(seed uint64, c ranker.Costs, urgent bool) *crest {
-	x := &crest{costs: c, urgent: urgent, random: rand.New(rand.NewPCG(seed, 1))}
-	for range crestZones * enginesPerZone {
+func newPeak(seed uint64, c ranker.Costs, urgent bool) *peak {
+	x := &peak{costs: c, urgent: urgent, random: rand.New(rand.NewPCG(seed, 1))}
+	for range peakZones * enginesPerZone {
 		x.engines = append(x.engines, &engine{cache: map[string]ranker.Part{}})
 	}
-	for z := range crestZones {
+	for z := range peakZones {
 		var list []*ranker.View
 		for i := range x.engines {
 			list = append(list, &ranker.View{ID: fmt.Sprint("e", i), Slots: engineSlots, CacheTokens: engineMemory, Local: i/enginesPerZone == z})
@@ -93,12 +92,13 @@
 	return x
 }
 
-// replay plays the load in steps of a millisecond.
-func (x *crest) replay() (inTime, programs int) {
-	for ; x.now < crestLength; x.now += time.Millisecond {
+// replay plays the load in steps of a millisecond. It returns the number of programs that end
+// before their finish time, and the number of all.
+func (x *peak) replay() (inTime, programs int) {
+	for ; x.now < replayLength; x.now += time.Millisecond {
 		rate := calmRate
-		if x.now >= crestBegins && x.now < crestEnds {
-			rate = crestRate
+		if x.now >= peakBegins && x.now < peakEnds {
+			rate = peakRate
 		}
 		if x.random.Float64() < rate {
 			x.begin()
@@ -111,16 +111,16 @@
 }
 
 // begin starts a program.
-func (x *crest) begin() {
+func (x *peak) begin() {
 	x.programs++
-	p := &program{zone: x.random.IntN(crestZones), turns: 2 + x.random.IntN(6), prefix: fmt.Sprint("shared", x.random.IntN(sharedParts)), id: fmt.Sprint("p", x.programs)}
+	p := &program{zone: x.random.IntN(peakZones), turns: 2 + x.random.IntN(6), prefix: fmt.Sprint("shared", x.random.IntN(sharedParts)), id: fmt.Sprint("p", x.programs)}
 	idle := float64(p.turns) * (outputTokens*millisPerToken + turnTokens/tokensPerMilli)
-	p.target = x.now + time.Duration((turnLatencyShare*idle+250)*float64(time.Millisecond))
+	p.finishBy = x.now + time.Duration((finishFactor*idle+250)*float64(time.Millisecond))
 	x.send(p)
 }
 
 // send places the next turn of a program.
-func (x *crest) send(p *program) {
+func (x *peak) send(p *program) {
 	p.tokens += turnTokens
 	w := ranker.Work{Parts: []ranker.Part{{ID: p.prefix, Tokens: sharedTokens}, {ID: p.id, Tokens: p.tokens}}, Prompt: sharedTokens + p.tokens, Output: outputTokens, Model: true, Bytes: p.tokens}
 	views := x.views[p.zone]
@@ -128,13 +128,13 @@
 	views[i].Begin(w, x.now)
 	t := &turnAt{program: p, work: w, view: views[i], arrived: x.now}
 	if x.urgent {
-		t.urgency = prioritizer.Of(p.target - x.now)
+		t.urgency = prioritizer.Of(p.finishBy - x.now)
 	}
 	x.engines[i].waiting = append(x.engines[i].waiting, t)
 }
 
 // step runs an engine for a millisecond.
-func (x *crest) step(e *engine) {
+func (x *peak) step(e *engine) {
 	e.waiting = slices.DeleteFunc(e.waiting, func(t *turnAt) bool {
 		gone := x.now-t.arrived > clientTimeout
 		if gone {
@@ -166,13 +166,13 @@
 }
 
 // end continues a program after a turn.
-func (x *crest) end(p *program) {
+func (x *peak) end(p *program) {
 	p.tokens += outputTokens
 	if p.done++; p.done < p.turns {
 		x.send(p)
 		return
 	}
-	if x.now <= p.target {
+	if x.now <= p.finishBy {
 		x.inTime++
 	}
 }
@@ -206,20 +206,20 @@
 	return n
 }
 
-// TestACrestIsServedInTime guards against an order of work in which nearly all programs of
-// a crest are served and nearly all too late. The weight of a prompt's reading time under
+// TestALoadPeakIsServedInTime guards against an order of work in which nearly all programs of
+// a load peak are served and nearly all too late. The weight of a prompt's reading time under
 // load and the urgency of programs each serve more in time than without them.
-func TestACrestIsServedInTime(t *testing.T) {
+func TestALoadPeakIsServedInTime(t *testing.T) {
 	is := is.New(t)
 	plain := ranker.DefaultCosts
 	plain.Interference = 0
 	var before, weighed, both, all int
 	for seed := range uint64(4) {
-		n, _ := newCrest(seed, plain, false).replay()
+		n, _ := newPeak(seed, plain, false).replay()
 		before += n
-		n, _ = newCrest(seed, ranker.DefaultCosts, false).replay()
+		n, _ = newPeak(seed, ranker.DefaultCosts, false).replay()
 		weighed += n
-		n, programs := newCrest(seed, ranker.DefaultCosts, true).replay()
+		n, programs := newPeak(seed, ranker.DefaultCosts, true).replay()
 		both += n
 		all += programs
 	}
--- a/internal/server/outages_test.go
+++ b/internal/server/outages_test.go
@@ -136,6 +136,7 @@
 		f.down.Store(false)
 		time.Sleep(2 * time.Second)
 		is.Equal(keeper.Current().Version(), uint64(5))
+		f.omitting.Store(false)
 		put("9 s")
 		put("8 s") // An older version is never applied.
 		time.Sleep(2 * time.Second)
--- /dev/null
+++ b/internal/server/stop.go
@@ -0,0 +1,74 @@
+package server
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// acceptTime is how long a stopping daemon takes requests that may last longer than the
+	// daemon does. By then the balancer has asked it twice whether it is ready.
+	acceptTime = 2800 * time.Millisecond
+	// shutdownDelay is how long a stopping daemon accepts connections and keeps idle ones.
+	shutdownDelay = 3500 * time.Millisecond
+	// settleMargin is the part of the grace time in which budgets are settled even if
+	// requests are still in progress.
+	settleMargin = 700 * time.Millisecond
+	// exitMargin is the end of the grace time, left for the process to exit.
+	exitMargin = 250 * time.Millisecond
+)
+
+// stop reports unready, accepts requests until the balancer and the clients have left,
+// finishes those in progress, settles the budgets, and removes the daemon's member row.
+func (d *Daemon) stop() {
+	began := time.Now()
+	endsAt := began.Add(d.options.Grace - exitMargin)
+	d.stopping.Store(true)
+	d.programs.Leave()
+	d.placements.Leave()
+	d.forwarder.Shutdown(began.Add(min(acceptTime, d.options.Grace*2/5)), endsAt)
+	d.logger.Event("server", "stop").Int("active", d.forwarder.Active()).End()
+	if d.tomb.Alive() {
+		time.Sleep(min(shutdownDelay, d.options.Grace/2))
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
+	defer cancel()
+	err := d.finishRequests(ctx, settleMargin-exitMargin)
+	s := &settlement{daemon: d, done: make(chan struct{})}
+	go s.run(ctx)
+	if err != nil {
+		// Requests that are still in progress get all of the grace time.
+		err = d.finishRequests(ctx, 0)
+	}
+	<-s.done
+	d.logCounts()
+	d.logger.Event("server", "stopped").Int("active", d.forwarder.Active()).Dur("took", time.Since(began)).Err(err).End()
+	_ = d.readyServer.Close()
+	if d.metricsServer != nil {
+		_ = d.metricsServer.Close()
+	}
+	d.forwarder.Close()
+	d.tomb.Kill(nil)
+}
+
+// finishRequests waits until all requests are finished, or until the given time before
+// the deadline of the context.
+func (d *Daemon) finishRequests(ctx context.Context, before time.Duration) error {
+	deadline, _ := ctx.Deadline()
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-before))
+	defer cancel()
+	return d.clientServer.Shutdown(ctx)
+}
+
+// settlement returns the unused tokens of a stopping daemon and removes its member row.
+type settlement struct {
+	daemon *Daemon
+	done   chan struct{}
+}
+
+func (s *settlement) run(ctx context.Context) {
+	defer close(s.done)
+	s.daemon.programs.Drain(ctx)
+	s.daemon.budgets.Settle(ctx)
+	s.daemon.relayer.Leave(ctx)
+}
--- a/internal/storer/doc.go
+++ b/internal/storer/doc.go
@@ -5,5 +5,6 @@
 // All state that must outlive a VM is a row or an object. A row's version increases with
 // every write, and a Transaction is applied only if all its conditions on versions hold.
 // NewClient returns a client over HTTP; tests use the fake store of package emulator. A Guard
-// detects outages of the store and makes requests fail fast meanwhile.
+// detects outages of the store and makes requests fail fast meanwhile, and paces writes that
+// the store throttles.
 package storer
--- a/internal/storer/pacer_test.go
+++ b/internal/storer/pacer_test.go
@@ -19,22 +19,22 @@
 	perSecond int
 
 	mu                 sync.Mutex
-	second             time.Time
-	inSecond           int
+	windowStart        time.Time
+	inWindow           int
 	attempts, accepted int
 }
 
 func (l *limitedTable) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
 	l.mu.Lock()
 	l.attempts++
-	if now := time.Now(); now.Sub(l.second) >= time.Second/10 {
-		l.second, l.inSecond = now, 0
+	if now := time.Now(); now.Sub(l.windowStart) >= time.Second/10 {
+		l.windowStart, l.inWindow = now, 0
 	}
-	if l.inSecond >= l.perSecond/10 {
+	if l.inWindow >= l.perSecond/10 {
 		l.mu.Unlock()
 		return 0, storer.ErrThrottled
 	}
-	l.inSecond++
+	l.inWindow++
 	l.accepted++
 	l.mu.Unlock()
 	return l.Table.Commit(ctx, tx)
