--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -46,7 +46,7 @@
 		// The log key desk holds the name of the coordinator that chose the replica.
 		f.logger.Event("forwarder", "tried").Str("id", j.request.ID).Str("replica", c.Replica.ID).Str("service", j.service.Name).
 			Int("candidates", c.Candidates).Int("cached", c.Cached).Int("busy", int(c.Busy)).Int("slowness", int(100*c.Slowness)).
-			Dur("age", c.Age).Str("desk", c.CoordinatorName).Int("attempt", j.attempts).Str("result", res.String()).Err(j.cause).End()
+			Dur("age", c.Age).Str("desk", c.CoordinatorName).Float("limit", c.Limit.Rate).Int("attempt", j.attempts).Str("result", res.String()).Err(j.cause).End()
 		if res.mayHaveRun() {
 			j.possibleRuns++
 		}
@@ -110,6 +110,10 @@
 			if a.Leaving && !a.Misdirected && c.ReportLeaving() {
 				f.logger.Event("forwarder", "replica leaving").Str("id", q.ID).Str("replica", c.Replica.ID).Str("instance", c.Instance).Int("status", r.StatusCode).End()
 			}
+			if !a.Misdirected && c.ReportLimit(a.Limit) {
+				f.logger.Event("forwarder", "replica limit").Str("id", q.ID).Str("replica", c.Replica.ID).Str("instance", c.Instance).
+					Float("rate", a.Limit).Float("before", c.Limit.Rate).End()
+			}
 			return a.RequestID == q.ID
 		},
 	})
--- a/internal/forwarder/wire.go
+++ b/internal/forwarder/wire.go
@@ -27,6 +27,9 @@
 	Misdirected bool
 	// Leaving reports that the replica has begun a planned stop.
 	Leaving bool
+	// Limit is the number of requests a second that the replica takes from all daemons
+	// together, zero for no limit.
+	Limit float64
 	// Load is the replica's load; it is valid only if HasLoad is set.
 	Load ranker.Load
 	// HasLoad reports that the response carries a load report.
--- a/internal/logger/line.go
+++ b/internal/logger/line.go
@@ -36,6 +36,13 @@
 	return l
 }
 
+// Float adds a decimal number with two decimals.
+func (l *Line) Float(name string, value float64) *Line {
+	l.appendKey(name)
+	l.text = strconv.AppendFloat(l.text, value, 'f', 2, 64)
+	return l
+}
+
 // Uint adds an unsigned integer field, such as a version.
 func (l *Line) Uint(name string, value uint64) *Line {
 	l.appendKey(name)
--- a/internal/selector/coordinator.go
+++ b/internal/selector/coordinator.go
@@ -44,6 +44,9 @@
 	Outcome Outcome
 	// Leaving is set if the replica announced its end.
 	Leaving bool
+	// Limited is set if Limit is the limit that the replica named, zero for none.
+	Limited bool
+	Limit   float64
 }
 
 // ReportRequest carries reports in the order in which they were made.
@@ -72,7 +75,8 @@
 	placement, replica := s.views.choose(q.Service, q.Work, tried)
 	if r.Seat, r.Found = placement, replica != nil; r.Found {
 		s.placedForPeers.Add(1)
-		s.peerPlacements.add(q.ID, r.Seat.Instance, time.Now().Add(q.Lasts+expiryMargin))
+		now := time.Now()
+		s.peerPlacements.add(q.ID, peerPlacement{instance: r.Seat.Instance, at: now, until: now.Add(q.Lasts + expiryMargin)})
 	}
 	return nil
 }
@@ -82,14 +86,18 @@
 func (c *Coordinator) Report(q ReportRequest, _ *ReportReply) error {
 	s := c.selector
 	for _, p := range q.Reports {
-		instance, ok := s.peerPlacements.find(p.ID, p.Ended)
+		placed, ok := s.peerPlacements.find(p.ID, p.Ended)
 		if !ok {
 			continue
 		}
+		instance := placed.instance
 		if p.Leaving && s.views.tracker.Leave(instance, time.Now()) {
 			// In logs, "seater" is the selector.
 			s.logger.Event("seater", "replica leaving").Str("instance", instance).Str("placement", p.ID).End()
 		}
+		if p.Limited && s.views.limits.report(instance, p.Limit, placed.at, time.Now()) {
+			s.logger.Event("seater", "replica limit").Str("instance", instance).Str("placement", p.ID).Float("rate", p.Limit).End()
+		}
 		if p.Loaded {
 			s.views.reportLoad(instance, p.Load)
 		}
@@ -106,31 +114,31 @@
 	placements map[string]peerPlacement
 }
 
-// peerPlacement is the replica of one request and the time at which it expires.
+// peerPlacement is the replica of one request, the time at which the request was placed and
+// the time at which the placement expires.
 type peerPlacement struct {
-	instance string
-	until    time.Time
+	instance  string
+	at, until time.Time
 }
 
-func (t *peerPlacements) add(id, instance string, until time.Time) {
+func (t *peerPlacements) add(id string, p peerPlacement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.placements == nil {
 		t.placements = map[string]peerPlacement{}
 	}
-	t.placements[id] = peerPlacement{instance, until}
+	t.placements[id] = p
 }
 
-// find returns the replica on which a request is placed, and releases the placement if
-// the request has ended.
-func (t *peerPlacements) find(id string, ended bool) (string, bool) {
+// find returns the placement of a request, and releases it if the request has ended.
+func (t *peerPlacements) find(id string, ended bool) (peerPlacement, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p, ok := t.placements[id]
 	if ended {
 		delete(t.placements, id)
 	}
-	return p.instance, ok
+	return p, ok
 }
 
 // expire releases the placements that are past their expiry, and returns their replicas.
--- a/internal/selector/placement.go
+++ b/internal/selector/placement.go
@@ -19,6 +19,8 @@
 	Busy, Slowness float64
 	Age            time.Duration
 	Cached         int
+	// Limit is the limit that the replica named.
+	Limit Limit
 }
 
 // Outcome is the result of a request as far as it concerns the replica.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -65,6 +65,9 @@
 	return s.asked.Load(), s.fellBack.Load(), s.placedForPeers.Load()
 }
 
+// LimitedReplicas returns the number of replicas that are known to have a limit.
+func (s *Selector) LimitedReplicas() int { return s.views.limits.count() }
+
 // Leave stops placing requests for other daemons, before a planned stop.
 func (s *Selector) Leave() { s.leaving.Store(true) }
 
@@ -103,6 +106,7 @@
 	selector    *Selector
 	coordinator assigner.Peer
 	id          string
+	chosenAt    time.Time
 }
 
 // Choose chooses the best replica that was not tried, at the service's coordinator or,
@@ -119,7 +123,7 @@
 	if replica == nil {
 		return nil, false
 	}
-	return &Choice{Placement: placement, Replica: replica, selector: s}, true
+	return &Choice{Placement: placement, Replica: replica, selector: s, chosenAt: time.Now()}, true
 }
 
 // askCoordinator lets the coordinator choose. It returns nil if this daemon has to
@@ -145,7 +149,7 @@
 		return nil
 	}
 	s.coordinators.Answered(coordinator.Address)
-	c := &Choice{Placement: r.Seat, CoordinatorName: coordinator.Name, selector: s, coordinator: coordinator, id: p.ID}
+	c := &Choice{Placement: r.Seat, CoordinatorName: coordinator.Name, selector: s, coordinator: coordinator, id: p.ID, chosenAt: time.Now()}
 	if c.Replica = s.views.begin(q.Service, q.Work, r.Seat.Instance); c.Replica == nil {
 		// The replica is usable at the coordinator, but not yet or no longer here.
 		s.reporter.enqueue(coordinator, Report{ID: p.ID, Ended: true, Outcome: Unknown, Leaving: s.views.tracker.IsLeaving(r.Seat.Instance)})
@@ -163,6 +167,21 @@
 	}
 }
 
+// ReportLimit records the limit that the replica named in its response, in requests a
+// second and zero for none, and reports it to the coordinator if that chose the replica. It
+// returns true if this daemon knew another limit or none.
+func (c *Choice) ReportLimit(rate float64) bool {
+	limits := &c.selector.views.limits
+	now := time.Now()
+	if rate == 0 && c.Limit.Rate == 0 && limits.of(c.Instance, now).Rate == 0 {
+		return false
+	}
+	if c.id != "" {
+		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Limit: rate, Limited: true})
+	}
+	return limits.report(c.Instance, rate, c.chosenAt, now)
+}
+
 // ReportLeaving records that the replica announced its end, and reports it to the
 // coordinator if that chose the replica. It returns true for the first announcement.
 func (c *Choice) ReportLeaving() bool {
--- a/internal/selector/views.go
+++ b/internal/selector/views.go
@@ -19,6 +19,7 @@
 	zone    string
 	costs   ranker.Costs
 	start   time.Time
+	limits  limits
 
 	mu      sync.Mutex
 	tracked map[string]*tracked
@@ -60,6 +61,7 @@
 	age, _ := view.Age(now)
 	placement := Placement{
 		Instance: candidates[i].Instance(), Candidates: len(list), Busy: view.Busy(now), Slowness: view.Slowness(now), Age: age, Cached: view.Cached(w.Parts),
+		Limit: s.limits.of(candidates[i].Instance(), time.Now()),
 	}
 	view.Begin(w, now)
 	return placement, candidates[i]
@@ -129,4 +131,8 @@
 			delete(s.tracked, key)
 		}
 	}
+	s.limits.retain(s.isTracked)
 }
+
+// isTracked reports whether there is a view of an instance. The caller holds the lock.
+func (s *views) isTracked(instance string) bool { return s.tracked[instance] != nil }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -11,6 +11,7 @@
 	s.Gauge("requests-active").Update(float64(d.forwarder.Active()))
 	s.Gauge("config-version").Update(float64(d.catalog.Current().Version()))
 	s.Gauge("replicas").Update(float64(d.tracker.Len()))
+	s.Gauge("replicas-limited").Update(float64(d.placements.LimitedReplicas()))
 	s.Gauge("store-away-seconds").Update(d.store.OutageDuration().Seconds())
 	s.Gauge("log-lines-dropped").Update(float64(d.logger.Dropped()))
 	c := d.forwarder.Connections()
