--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -87,6 +87,17 @@
 	m.peers[name] = peer{address: value.Address, avoidUntil: p.avoidUntil}
 }
 
+// join adds a peer before its member row is read.
+func (m *members) join(name, address string) {
+	if name == m.self || address == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers[name] = peer{address: address}
+	m.updateList()
+}
+
 // available returns the addresses of the peers to which calls may be relayed now.
 func (m *members) available(now time.Time) []string {
 	m.mu.Lock()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -77,7 +77,8 @@
 
 // New returns a relayer without peers; Start begins to discover them.
 func New(direct *storer.Guard, r *logger.Logger, o Options) *Relayer {
-	return &Relayer{direct: direct, options: o, members: newMembers(o.VM), service: &Service{direct: direct}, services: map[string]any{}, logger: r}
+	m := newMembers(o.VM)
+	return &Relayer{direct: direct, options: o, members: m, service: &Service{direct: direct, members: m}, services: map[string]any{}, logger: r}
 }
 
 // Register registers an additional RPC service for peers; call it before Start.
@@ -198,6 +199,7 @@
 		return false
 	}
 	follower.Start(ctx, x, x.members, follower.Options{Table: x.table(), PollInterval: membersPeriod, Timeout: membersTimeout})
+	x.tomb.Go((&announcement{relayer: x}).run)
 	return true
 }
 
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -168,7 +168,11 @@
 	accesses []*storeAccess
 	relayers []*relayer.Relayer
 	guards   []*storer.Guard
+	ctx      context.Context
 	cancel   context.CancelFunc
+	store    *emulator.Store
+	network  *network
+	queues   *queues
 }
 
 // newZone starts three daemons over a new store.
@@ -181,25 +185,28 @@
 func newZoneWith(t *testing.T, store *emulator.Store, names ...string) *zone {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	z := &zone{cancel: cancel}
-	n := &network{listeners: map[string]*listener{}}
-	queues := &queues{}
+	z := &zone{ctx: ctx, cancel: cancel, store: store, network: &network{listeners: map[string]*listener{}}, queues: &queues{}}
 	for _, name := range names {
-		a := &storeAccess{store: store, queues: queues}
-		g := storer.NewGuard(a, a, storer.Limits{
-			MinTimeout: 100 * time.Millisecond, MaxTimeout: time.Second, OutageAfter: 300 * time.Millisecond, ProbeInterval: 200 * time.Millisecond, RetryBackoff: 20 * time.Millisecond,
-		})
-		z.accesses, z.guards = append(z.accesses, a), append(z.guards, g)
-		x := relayer.New(g, logger.Start(ctx, io.Discard), relayer.Options{
-			VM: name, Zone: "z", Address: name, Dial: n.dial, Listen: n.listen,
-		})
-		x.Start(ctx)
-		z.relayers = append(z.relayers, x)
+		z.add(name)
 	}
 	time.Sleep(11 * time.Second) // Two reads of the member rows.
 	return z
 }
 
+// add starts another daemon.
+func (z *zone) add(name string) {
+	a := &storeAccess{store: z.store, queues: z.queues}
+	g := storer.NewGuard(a, a, storer.Limits{
+		MinTimeout: 100 * time.Millisecond, MaxTimeout: time.Second, OutageAfter: 300 * time.Millisecond, ProbeInterval: 200 * time.Millisecond, RetryBackoff: 20 * time.Millisecond,
+	})
+	z.accesses, z.guards = append(z.accesses, a), append(z.guards, g)
+	x := relayer.New(g, logger.Start(z.ctx, io.Discard), relayer.Options{
+		VM: name, Zone: "z", Address: name, Dial: z.network.dial, Listen: z.network.listen,
+	})
+	x.Start(z.ctx)
+	z.relayers = append(z.relayers, x)
+}
+
 // stop ends the daemons and waits for their goroutines.
 func (z *zone) stop() {
 	z.cancel()
@@ -258,6 +265,21 @@
 	})
 }
 
+// TestADaemonThatJoinsIsKnownAtOnce guards against daemons of a zone that know of a new one
+// at different times, up to five seconds apart, and use two coordinators until then.
+func TestADaemonThatJoinsIsKnownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newZone(t)
+		defer z.stop()
+		z.add("d")
+		time.Sleep(300 * time.Millisecond)
+		for _, x := range z.relayers {
+			is.Equal(x.MemberCount(), 4)
+		}
+	})
+}
+
 // TestManyDaemonsJoinTogether starts 130 daemons at once, so that all their writes queue
 // at one partition. Retries must have jitter, so that they are not repeated in step, and
 // no member row may use the partition with the empty name, where replicas register.
--- a/internal/relayer/service.go
+++ b/internal/relayer/service.go
@@ -12,9 +12,11 @@
 // daemon's own work.
 const maxRelayed = 64
 
-// Service is the RPC service that executes the calls of peers directly.
+// Service is the RPC service that executes the calls of peers directly, and learns of peers
+// that join.
 type Service struct {
 	direct   *storer.Guard
+	members  *members
 	inFlight atomic.Int64
 	served   atomic.Int64
 }
