--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -48,9 +48,13 @@
 		c.End(res.outcome())
 		f.meter.countAttempt(res)
 		// The log key desk holds the name of the coordinator that chose the replica.
-		f.logger.Event("forwarder", "tried").Str("id", j.request.ID).Str("replica", c.Replica.ID).Str("service", j.service.Name).
+		line := f.logger.Event("forwarder", "tried").Str("id", j.request.ID).Str("replica", c.Replica.ID).Str("service", j.service.Name).
 			Int("candidates", c.Candidates).Int("cached", c.Cached).Int("busy", int(c.Busy)).Int("slowness", int(100*c.Slowness)).
-			Dur("age", c.Age).Str("desk", c.CoordinatorName).Float("limit", c.Limit.Rate).Dur("waited", c.Wait).Int("attempt", j.attempts).Str("result", res.String()).Err(j.cause).End()
+			Dur("age", c.Age).Str("desk", c.CoordinatorName).Float("limit", c.Limit.Rate).Dur("waited", c.Wait).Int("attempt", j.attempts).Str("result", res.String())
+		if res == ambiguous || res == truncated {
+			line.Str("fingerprint", j.request.fingerprint().String())
+		}
+		line.Err(j.cause).End()
 		if res.mayHaveRun() {
 			j.possibleRuns++
 		}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -4,12 +4,15 @@
 	"net/http"
 	"time"
 
+	"pimentorail.example/pimentorail/internal/isolator"
 	"pimentorail.example/pimentorail/internal/ranker"
 )
 
 // Request is a client's request, decoded from the client protocol.
 type Request struct {
 	ID string
+	// Caller identifies who sent the request, as far as the client protocol says.
+	Caller string
 	// Method, Target and Host are sent to the replica unchanged; Hostname, the normalized
 	// host name, and Path select the route.
 	Method, Target, Host, Hostname, Path string
@@ -41,3 +44,8 @@
 	// LastEventID is the id of the last event that the client has received.
 	LastEventID string
 }
+
+// fingerprint returns the fingerprint of what the client sent.
+func (q *Request) fingerprint() isolator.Fingerprint {
+	return isolator.NewFingerprint(q.Caller, q.Method, q.Hostname, q.Target, string(q.Body))
+}
--- /dev/null
+++ b/internal/isolator/doc.go
@@ -0,0 +1,2 @@
+// Package isolator finds requests that crash the replicas that run them.
+package isolator
