--- /dev/null
+++ b/internal/forwarder/crash_test.go
@@ -0,0 +1,124 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pimentorail.example/pimentorail/internal/tracker"
+)
+
+const (
+	crashingBody = "a body that crashes its replica"
+	// maxCrashes is the number of replicas that one request may crash before it is refused.
+	maxCrashes = 3
+)
+
+// crashingReplica is a replica whose process ends when it begins to run a crashing request,
+// 20 ms after other requests have arrived. Another one starts at another address.
+type crashingReplica struct {
+	fixture *fixture
+	id      int
+	server  *httptest.Server
+	once    sync.Once
+}
+
+// crashes counts the replicas that ended and the requests that came back whole.
+type crashes struct {
+	mu      sync.Mutex
+	ended   int
+	started int
+}
+
+func (f *fixture) startCrashing(n int, c *crashes) {
+	for range n {
+		r := &crashingReplica{fixture: f}
+		c.mu.Lock()
+		r.id = c.started
+		c.started++
+		c.mu.Unlock()
+		r.server = httptest.NewServer(f.record(r.id, func(w http.ResponseWriter, q *http.Request) { r.respond(w, q, c) }))
+		f.t.Cleanup(r.server.Close)
+		f.tracker.Update([]tracker.Row{{ID: fmt.Sprint(r.id), Replica: &tracker.Replica{
+			ID: fmt.Sprint(r.id), Service: "s", Address: strings.TrimPrefix(r.server.URL, "http://"), Slots: 4,
+		}}}, time.Now())
+	}
+}
+
+func (r *crashingReplica) respond(w http.ResponseWriter, q *http.Request, c *crashes) {
+	time.Sleep(20 * time.Millisecond)
+	if q.Header.Get("Body") != crashingBody {
+		serveOK(w, q)
+		return
+	}
+	r.once.Do(func() {
+		_ = r.server.Listener.Close()
+		r.server.CloseClientConnections()
+		c.mu.Lock()
+		c.ended++
+		c.mu.Unlock()
+		r.fixture.startCrashing(1, c)
+		r.fixture.tracker.Update([]tracker.Row{{ID: fmt.Sprint(r.id)}}, time.Now())
+	})
+}
+
+// sendBody sends a request whose body the replica also finds in a header, since the fixture
+// reads the body first.
+func (f *fixture) sendBody(id, path, body string) response {
+	return f.sendAs(f.t.Context(), id, "POST", path, body, "Body", body)
+}
+
+// TestARequestThatCrashesReplicasIsRefused guards against a request that crashes replica after
+// replica because each time it comes it is sent on. Each row is a kind of route; between the
+// crashing requests come sound ones, which are served, also those that were at a replica when
+// it crashed and come again.
+func TestARequestThatCrashesReplicasIsRefused(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x", "/turn/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t).applyRoutes()
+			c := &crashes{}
+			f.startCrashing(6, c)
+			var group sync.WaitGroup
+			var last response
+			for round := range 12 {
+				for n := range 8 {
+					group.Add(1)
+					go (&soundCall{fixture: f, group: &group, path: path, name: fmt.Sprintf("%d-%d", round, n)}).run()
+				}
+				time.Sleep(10 * time.Millisecond)
+				last = f.sendBody(fmt.Sprint("crash-", round), path, crashingBody)
+				time.Sleep(100 * time.Millisecond) // The client of a crashed request waits before it comes again.
+			}
+			group.Wait()
+			is.True(c.ended <= maxCrashes)
+			is.Equal(last.status, http.StatusBadGateway)
+			is.Equal(last.header.Get("Retry-After"), "")
+		})
+	}
+}
+
+// soundCall is a request that crashes no replica, sent again until it is served.
+type soundCall struct {
+	fixture *fixture
+	group   *sync.WaitGroup
+	path    string
+	name    string
+}
+
+func (s *soundCall) run() {
+	defer s.group.Done()
+	for attempt := range 6 {
+		if r := s.fixture.sendBody(fmt.Sprint(s.name, "-", attempt), s.path, "a sound body "+s.name); r.status == http.StatusOK && r.err == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.fixture.t.Errorf("the sound request %s was not served in six attempts", s.name)
+}
