--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -154,6 +155,17 @@
 	return x, nil
 }
 
+// Refused reports whether the VM at an address answers and no process listens there. It
+// returns false if that is not certain.
+func Refused(ctx context.Context, address string) bool {
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	n, err := d.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = n.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // uncount removes a connection that could not be opened from the count of its pool.
 func (c *Connector) uncount(instance string) {
 	c.mu.Lock()
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -32,12 +32,15 @@
 // It returns nil if the client has received a complete response.
 func (f *Forwarder) sendWithRetries(ctx context.Context, w http.ResponseWriter, j *job) *classifier.Fault {
 	for j.attempts < maxAttempts {
+		if fault := f.refuseCondemned(j); fault != nil {
+			return fault
+		}
 		c, err := f.placements.Choose(ctx, selector.Request{
-			Service: selector.Service{Name: j.service.Name, CacheTokens: j.service.CacheTokens}, Work: j.work, Tried: j.tried, Deadline: j.deadline,
+			Service: selector.Service{Name: j.service.Name, CacheTokens: j.service.CacheTokens}, Work: j.work, Tried: j.tried, Deadline: j.deadline, Suspicion: f.suspicion(j),
 		})
-		var limited *selector.LimitError
-		if errors.As(err, &limited) && j.possibleRuns == 0 {
-			return classifier.New(classifier.Overloaded, classifier.RanNo, "service %q: %v", j.service.Name, err).After(withJitter(limited.RetryAfter()))
+		var busy *selector.BusyError
+		if errors.As(err, &busy) && j.possibleRuns == 0 {
+			return classifier.New(classifier.Overloaded, classifier.RanNo, "service %q: %v", j.service.Name, err).After(withJitter(busy.RetryAfter()))
 		}
 		if err != nil {
 			break
@@ -45,6 +48,7 @@
 		j.attempts++
 		j.tried[c.Instance] = true
 		res := f.sendOnce(ctx, w, j, c)
+		f.recordEvidence(j, c, res)
 		c.End(res.outcome())
 		f.meter.countAttempt(res)
 		// The log key desk holds the name of the coordinator that chose the replica.
@@ -52,7 +56,7 @@
 			Int("candidates", c.Candidates).Int("cached", c.Cached).Int("busy", int(c.Busy)).Int("slowness", int(100*c.Slowness)).
 			Dur("age", c.Age).Str("desk", c.CoordinatorName).Float("limit", c.Limit.Rate).Dur("waited", c.Wait).Int("attempt", j.attempts).Str("result", res.String())
 		if res == ambiguous || res == truncated {
-			line.Str("fingerprint", j.request.fingerprint().String())
+			line.Str("mark", j.mark.String())
 		}
 		line.Err(j.cause).End()
 		if res.mayHaveRun() {
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -18,9 +18,11 @@
 	"pimentorail.example/pimentorail/internal/archivist"
 	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/emulator"
 	"pimentorail.example/pimentorail/internal/forwarder"
 	"pimentorail.example/pimentorail/internal/granter"
+	"pimentorail.example/pimentorail/internal/isolator"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/ranker"
 	"pimentorail.example/pimentorail/internal/seeder"
@@ -97,7 +99,8 @@
 	lines := logger.Start(ctx, io.Discard)
 	f.forwarder = forwarder.New(forwarder.Dependencies{
 		Catalog: f.catalog, Placements: selector.Start(ctx, f.tracker, nil, lines, selector.Options{}), Programs: granter.Start(ctx, turns, budgeter.Start(ctx, f.store, "me"), nil, lines, granter.Options{}), Logger: lines,
-		Scope: tally.NoopScope, Codec: testCodec{},
+		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
+		Scope:    tally.NoopScope, Codec: testCodec{},
 	}, forwarder.Options{StoreTimeout: 100 * time.Millisecond, RetryAfter: time.Second, OutageRetryAfter: time.Second})
 	f.server = httptest.NewServer(http.HandlerFunc(f.serve))
 	t.Cleanup(func() {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/granter"
+	"pimentorail.example/pimentorail/internal/isolator"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/prioritizer"
 	"pimentorail.example/pimentorail/internal/ranker"
@@ -51,6 +52,7 @@
 	Catalog    *cataloger.Keeper
 	Placements *selector.Selector
 	Programs   *granter.Granter
+	Isolator   *isolator.Isolator
 	Logger     *logger.Logger
 	Scope      tally.Scope
 	Codec      Codec
@@ -62,6 +64,7 @@
 	catalog    *cataloger.Keeper
 	placements *selector.Selector
 	programs   *granter.Granter
+	isolator   *isolator.Isolator
 	logger     *logger.Logger
 	codec      Codec
 	conns      *connector.Connector
@@ -74,7 +77,7 @@
 // New returns a forwarder without connections.
 func New(d Dependencies, o Options) *Forwarder {
 	return &Forwarder{
-		options: o, catalog: d.Catalog, placements: d.Placements, programs: d.Programs,
+		options: o, catalog: d.Catalog, placements: d.Placements, programs: d.Programs, isolator: d.Isolator,
 		logger: d.Logger, codec: d.Codec, conns: connector.New(), meter: newMeter(d.Scope),
 	}
 }
@@ -100,6 +103,8 @@
 	service *cataloger.Service
 	version uint64
 	turn    *turn
+	// mark identifies what the client sent.
+	mark isolator.Mark
 	// deadline is the earlier of the client's and the route's deadline.
 	deadline time.Time
 	work     ranker.Work
@@ -169,7 +174,7 @@
 	if s == nil {
 		return nil, classifier.New(classifier.TargetAway, classifier.RanNo, "configuration version %d has no service for route %q", c.Version(), r.Name).After(f.retryAfter())
 	}
-	j := &job{request: q, route: r, service: s, version: c.Version(), tried: map[string]bool{}}
+	j := &job{request: q, route: r, service: s, version: c.Version(), tried: map[string]bool{}, mark: q.mark()}
 	timeout := defaultTimeout
 	if q.Timeout > 0 {
 		timeout = q.Timeout
@@ -181,7 +186,7 @@
 	if fault := f.refuseWhenStopping(j); fault != nil {
 		return nil, fault
 	}
-	return j, nil
+	return j, f.refuseCondemned(j)
 }
 
 // describeWork sets the request's estimated work, used to choose a replica.
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -45,7 +45,7 @@
 	LastEventID string
 }
 
-// fingerprint returns the fingerprint of what the client sent.
-func (q *Request) fingerprint() isolator.Fingerprint {
-	return isolator.NewFingerprint(q.Caller, q.Method, q.Hostname, q.Target, string(q.Body))
+// mark returns the mark of what the client sent.
+func (q *Request) mark() isolator.Mark {
+	return isolator.NewMark(q.Body, q.Caller, q.Method, q.Hostname, q.Target)
 }
--- /dev/null
+++ b/internal/isolator/broken.go
@@ -0,0 +1,51 @@
+package isolator
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// collectFor is how long requests that broke off at an instance are collected until it
+	// is checked, and checkTimeout bounds the check.
+	collectFor   = 10 * time.Millisecond
+	checkTimeout = 500 * time.Millisecond
+)
+
+// brokenOff holds the requests of this daemon that broke off at one instance.
+type brokenOff struct {
+	isolator                   *Isolator
+	service, instance, address string
+	suspects                   []Mark
+}
+
+// add adds a request and returns true if it is new. The caller holds the lock.
+func (b *brokenOff) add(m Mark) bool {
+	if len(b.suspects) >= maxSuspects || slices.Contains(b.suspects, m) {
+		return false
+	}
+	b.suspects = append(b.suspects, m)
+	return true
+}
+
+// run records a crash if the instance has ended, and otherwise forgets the requests: their
+// connections broke, not the replica.
+func (b *brokenOff) run() {
+	i := b.isolator
+	ctx := i.tomb.Context(nil)
+	select {
+	case <-time.After(collectFor):
+	case <-ctx.Done():
+		return
+	}
+	crashed := i.crashed(ctx, b.address)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.logger.Event("isolator", "requests broke off").Str("instance", b.instance).Int("suspects", len(b.suspects)).Bool("crashed", crashed).End()
+	if crashed {
+		i.recordLocked(b, time.Now())
+		return
+	}
+	delete(i.pending, b.instance)
+	i.changedLocked()
+}
--- a/internal/isolator/fingerprint.go
+++ b/internal/isolator/fingerprint.go
@@ -4,16 +4,16 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"github.com/pkg/errors"
 )
 
-// Fingerprint identifies what a client sent: equal requests have equal fingerprints, whoever
-// receives them and whatever is added to them on their way. The zero value is that of no
-// request.
+// Fingerprint is the hash of what a client sent. The zero value is that of nothing.
 type Fingerprint [16]byte
 
-// NewFingerprint returns the fingerprint of a request's fields, such as its caller, path and
-// body. It is cryptographic, so that no client can make one that is equal to another's.
-func NewFingerprint(fields ...string) Fingerprint {
+// newFingerprint returns the fingerprint of a request's fields. It is cryptographic, so that
+// no client can make one that is equal to another's.
+func newFingerprint(fields ...string) Fingerprint {
 	h := sha256.New()
 	var size [8]byte
 	for _, f := range fields {
@@ -28,3 +28,16 @@
 
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	b, err := hex.DecodeString(string(text))
+	if err != nil || len(b) != len(f) {
+		return errors.Errorf("fingerprint %q is not %d bytes in hexadecimal", text, len(f))
+	}
+	copy(f[:], b)
+	return nil
+}
--- a/internal/isolator/fingerprint_test.go
+++ b/internal/isolator/fingerprint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -15,17 +16,30 @@
 	os.Exit(m.Run())
 }
 
-// TestFingerprintsTellRequestsApart guards against requests that are taken for another one:
-// fields must not run into each other.
-func TestFingerprintsTellRequestsApart(t *testing.T) {
+// TestMarksTellRequestsApart guards against requests that are taken for another one: fields
+// must not run into each other.
+func TestMarksTellRequestsApart(t *testing.T) {
 	is := is.New(t)
-	one := isolator.NewFingerprint("account", "/path", "body")
-	is.Equal(one, isolator.NewFingerprint("account", "/path", "body"))
-	for _, other := range [][]string{
-		{"other", "/path", "body"}, {"account", "/path/", "body"}, {"account", "/path", "body "}, {"account/path", "", "body"}, {"account", "/pathbody", ""}, {"account", "/path", "body", ""},
+	one := isolator.NewMark([]byte("body"), "account", "/path")
+	is.Equal(one, isolator.NewMark([]byte("body"), "account", "/path"))
+	for _, other := range []isolator.Mark{
+		isolator.NewMark([]byte("body"), "other", "/path"), isolator.NewMark([]byte("body"), "account", "/path/"), isolator.NewMark([]byte("body "), "account", "/path"),
+		isolator.NewMark(nil, "account/path", "body"), isolator.NewMark(nil, "account", "/pathbody"), isolator.NewMark(nil, "account", "/path", "body"),
 	} {
-		is.True(isolator.NewFingerprint(other...) != one)
+		is.True(other.Whole != one.Whole && other.Start != one.Start)
 	}
-	is.True(one != isolator.Fingerprint{})
-	is.Equal(len(one.String()), 32)
+	is.True(one.Whole != isolator.Fingerprint{})
+}
+
+// TestMarksOfConversations guards against a request that is not known again because its client
+// sends it with more of the conversation.
+func TestMarksOfConversations(t *testing.T) {
+	is := is.New(t)
+	start := strings.Repeat("beginning ", 30)
+	one, other := isolator.NewMark([]byte(start+"one"), "/path"), isolator.NewMark([]byte(start+"another"), "/path")
+	is.True(one.Whole != other.Whole)
+	is.Equal(one.Start, other.Start)
+	is.True(one.Start != isolator.NewMark([]byte(start+"one"), "/other").Start)
+	short := isolator.NewMark([]byte("short"), "/path")
+	is.Equal(short.Whole, short.Start)
 }
--- /dev/null
+++ b/internal/isolator/isolator.go
@@ -0,0 +1,373 @@
+package isolator
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gopkg.in/tomb.v2"
+
+	"pimentorail.example/pimentorail/internal/logger"
+	"pimentorail.example/pimentorail/internal/storer"
+)
+
+const (
+	// maxSuspects bounds the requests that one daemon records for one crash, and maxRecords
+	// the rows that are kept in memory.
+	maxSuspects = 64
+	maxRecords  = 1024
+	// suspectRetention is how long a crash counts, and condemnedRetention how long one does
+	// that condemned a request. Then the request gets another chance.
+	suspectRetention   = time.Minute
+	condemnedRetention = 10 * time.Minute
+	// removalJitter spreads the removal of a row over the daemons; the first removes it.
+	removalJitter = 10 * time.Second
+	maintainEvery = time.Second
+	// writeTimeout bounds one write, writeBackoff is the time between two attempts, and
+	// maxBatch the rows of one write.
+	writeTimeout = time.Second
+	writeBackoff = 200 * time.Millisecond
+	maxBatch     = 50
+)
+
+// Options are the settings of an Isolator.
+type Options struct {
+	// Name is the name of this process, which no earlier or later process has.
+	Name string
+	// Crashed reports whether the process at an address has ended. It returns false if that
+	// is not certain.
+	Crashed func(ctx context.Context, address string) bool
+}
+
+// Isolator knows the requests that crash replicas. It is a follower.Sink of Table.
+type Isolator struct {
+	options Options
+	table   storer.Table
+	logger  *logger.Logger
+	tomb    *tomb.Tomb
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	records map[string]record
+	// pending holds the requests that broke off at instances whose end is not confirmed yet,
+	// and own those of confirmed crashes that this daemon has recorded.
+	pending, own map[string]*brokenOff
+	// unwritten holds the rows that the store has not acknowledged.
+	unwritten map[string]row
+	recent    recent
+	verdicts  map[Fingerprint]Verdict
+	// outdated is set if the verdicts do not follow from what is known now.
+	outdated bool
+	// suspects is the number of verdicts, or not zero if they are outdated, for a check
+	// without the lock.
+	suspects atomic.Int64
+}
+
+// Start returns an Isolator that writes its rows until the context ends.
+func Start(ctx context.Context, t storer.Table, l *logger.Logger, o Options) *Isolator {
+	i := &Isolator{
+		options: o, table: t, logger: l, wake: make(chan struct{}, 1),
+		records: map[string]record{}, pending: map[string]*brokenOff{}, own: map[string]*brokenOff{}, unwritten: map[string]row{},
+	}
+	i.tomb, _ = tomb.WithContext(ctx)
+	i.tomb.Go(i.run)
+	return i
+}
+
+// Check returns what is known against a request.
+func (i *Isolator) Check(m Mark) Verdict {
+	if i.suspects.Load() == 0 {
+		return Verdict{}
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.judgeLocked(time.Now())
+	whole, start := i.verdicts[m.Whole], i.verdicts[m.Start]
+	return Verdict{Crashes: max(whole.Crashes, start.Crashes), Condemned: whole.Condemned || start.Condemned}
+}
+
+// Counts returns the numbers of suspect and of condemned fingerprints.
+func (i *Isolator) Counts() (suspects, condemned int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, v := range i.verdicts {
+		if v.Condemned {
+			condemned++
+		}
+	}
+	return len(i.verdicts) - condemned, condemned
+}
+
+// Served records that a request got a complete response. If it was suspect, all daemons learn
+// that it is not the cause of crashes.
+func (i *Isolator) Served(m Mark) {
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, f := range []Fingerprint{m.Whole, m.Start} {
+		i.recent.add(f, now)
+		name := servedName(f)
+		if _, known := i.records[name]; known {
+			continue
+		}
+		if _, suspect := i.verdicts[f]; suspect {
+			i.putOwnLocked(name, row{Served: f}, now)
+		}
+	}
+}
+
+// BrokeOff records that a replica broke off a request. If the replica's process has ended,
+// the request becomes suspect.
+func (i *Isolator) BrokeOff(service, instance, address string, m Mark) {
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.recent.has(m.Whole, now) {
+		return
+	}
+	if i.recent.has(m.Start, now) {
+		m.Start = m.Whole // Other requests with the same start were served.
+	}
+	if b := i.own[instance]; b != nil {
+		if b.add(m) {
+			i.recordLocked(b, now)
+		}
+		return
+	}
+	b := i.pending[instance]
+	if b == nil {
+		b = &brokenOff{isolator: i, service: service, instance: instance, address: address}
+		i.pending[instance] = b
+		go b.run()
+	}
+	if b.add(m) {
+		i.changedLocked()
+	}
+}
+
+// crashed checks whether the process at an address has ended.
+func (i *Isolator) crashed(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	return i.options.Crashed(ctx, address)
+}
+
+// recordLocked records a confirmed crash and queues its row.
+func (i *Isolator) recordLocked(b *brokenOff, now time.Time) {
+	delete(i.pending, b.instance)
+	i.own[b.instance] = b
+	r := row{Service: b.service, Instance: b.instance, Suspects: append([]Mark(nil), b.suspects...)}
+	i.putOwnLocked(rowName(b.instance, i.options.Name), r, now)
+}
+
+// putOwnLocked adds a record of this daemon and queues its row.
+func (i *Isolator) putOwnLocked(name string, r row, now time.Time) {
+	seenAt := now
+	if old, ok := i.records[name]; ok {
+		seenAt = old.seenAt
+	}
+	i.records[name] = record{r, seenAt}
+	i.unwritten[name] = r
+	i.changedLocked()
+	select {
+	case i.wake <- struct{}{}:
+	default:
+	}
+}
+
+// changedLocked records that the verdicts are out of date.
+func (i *Isolator) changedLocked() {
+	i.outdated = true
+	i.suspects.Store(1)
+}
+
+// judgeLocked judges all suspects anew if anything has changed.
+func (i *Isolator) judgeLocked(now time.Time) {
+	if !i.outdated {
+		return
+	}
+	i.outdated = false
+	e := newEvidence()
+	for _, r := range i.records {
+		e.add(r.row, r.seenAt)
+	}
+	for _, b := range i.pending {
+		e.add(row{Service: b.service, Instance: b.instance, Suspects: b.suspects}, now)
+	}
+	old := i.verdicts
+	i.verdicts = judge(e.list(), e.starts)
+	i.suspects.Store(int64(len(i.verdicts)))
+	for f, v := range i.verdicts {
+		if v.Condemned && !old[f].Condemned {
+			i.logger.Event("isolator", "request condemned").Str("fingerprint", f.String()).Int("crashes", v.Crashes).End()
+		}
+	}
+}
+
+// Replace implements follower.Sink.
+func (i *Isolator) Replace(rows []storer.Row, _ uint64) {
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	old := i.records
+	i.records = map[string]record{}
+	for name, r := range i.unwritten {
+		i.records[name] = record{r, now}
+	}
+	for _, r := range rows {
+		i.putLocked(r, now)
+	}
+	for name, r := range i.records {
+		if o, ok := old[name]; ok {
+			i.records[name] = record{r.row, o.seenAt}
+		}
+	}
+	i.changedLocked()
+}
+
+// Update implements follower.Sink.
+func (i *Isolator) Update(changes []storer.Change, _ uint64) {
+	if len(changes) == 0 {
+		return
+	}
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, c := range changes {
+		if c.Removed {
+			i.forgetLocked(c.Name())
+			continue
+		}
+		i.putLocked(c.Row, now)
+	}
+	i.changedLocked()
+}
+
+// StoreUnavailable implements follower.Sink; what is known stays.
+func (i *Isolator) StoreUnavailable(error) {}
+
+// StoreRecovered implements follower.Sink.
+func (i *Isolator) StoreRecovered() {}
+
+// putLocked adds the record of a row.
+func (i *Isolator) putLocked(r storer.Row, now time.Time) {
+	v, err := decodeRow(r)
+	if err != nil {
+		i.logger.Event("isolator", "row ignored").Err(err).End()
+		return
+	}
+	seenAt := now
+	old, known := i.records[r.Name()]
+	switch {
+	case known:
+		seenAt = old.seenAt
+	case len(i.records) >= maxRecords:
+		return
+	}
+	i.records[r.Name()] = record{v, seenAt}
+}
+
+// run writes the queued rows and removes expired ones.
+func (i *Isolator) run() error {
+	maintenance := time.NewTicker(maintainEvery)
+	defer maintenance.Stop()
+	for {
+		select {
+		case <-i.wake:
+			for !i.write() {
+				select {
+				case <-time.After(writeBackoff/2 + rand.N(writeBackoff)):
+				case <-i.tomb.Dying():
+					return nil
+				}
+			}
+		case <-maintenance.C:
+			i.expire(time.Now())
+		case <-i.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// write writes the queued rows. A row holds the same whenever it is written, so that a write
+// in doubt is repeated. It returns false if rows are left.
+func (i *Isolator) write() bool {
+	batch := map[string]row{}
+	i.mu.Lock()
+	for name, r := range i.unwritten {
+		if len(batch) < maxBatch {
+			batch[name] = r
+		}
+	}
+	i.mu.Unlock()
+	var tx storer.Transaction
+	for name, r := range batch {
+		value, err := json.Marshal(r)
+		if err != nil {
+			i.logger.Event("isolator", "row not encoded").Err(err).End()
+			continue
+		}
+		tx.Writes = append(tx.Writes, storer.Write{Key: storer.Prefix(Table) + name, Value: value})
+	}
+	if len(tx.Writes) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(i.tomb.Context(nil), writeTimeout)
+	defer cancel()
+	_, err := i.table.Commit(ctx, tx)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for name, r := range batch {
+		if now, ok := i.unwritten[name]; err == nil && ok && len(now.Suspects) == len(r.Suspects) {
+			delete(i.unwritten, name)
+		}
+	}
+	return len(i.unwritten) == 0
+}
+
+// expire forgets old crashes and removes their rows.
+func (i *Isolator) expire(now time.Time) {
+	var tx storer.Transaction
+	i.mu.Lock()
+	i.judgeLocked(now)
+	for name, r := range i.records {
+		if now.Sub(r.seenAt) < i.retentionLocked(r.row)+rand.N(removalJitter) {
+			continue
+		}
+		i.forgetLocked(name)
+		if len(tx.Writes) < maxBatch {
+			tx.Writes = append(tx.Writes, storer.Write{Key: storer.Prefix(Table) + name, Delete: true})
+		}
+	}
+	i.mu.Unlock()
+	if len(tx.Writes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(i.tomb.Context(nil), writeTimeout)
+	defer cancel()
+	if _, err := i.table.Commit(ctx, tx); err != nil {
+		// Another daemon removes them, or the next start of one.
+		i.logger.Event("isolator", "rows not removed").Int("rows", len(tx.Writes)).Err(err).End()
+	}
+}
+
+// forgetLocked forgets a row.
+func (i *Isolator) forgetLocked(name string) {
+	delete(i.own, i.records[name].Instance)
+	delete(i.records, name)
+	delete(i.unwritten, name)
+	i.changedLocked()
+}
+
+// retentionLocked returns how long a crash is kept.
+func (i *Isolator) retentionLocked(r row) time.Duration {
+	for _, m := range r.Suspects {
+		if i.verdicts[m.Whole].Condemned || i.verdicts[m.Start].Condemned {
+			return condemnedRetention
+		}
+	}
+	return suspectRetention
+}
--- /dev/null
+++ b/internal/isolator/row.go
@@ -0,0 +1,51 @@
+package isolator
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/storer"
+)
+
+// Table is the table, with its partition, that holds a row for each crash and daemon, and one
+// for each suspect that was served.
+const Table = "crashes/all"
+
+// row is the value of a row: the requests that one daemon had at a replica that crashed, or,
+// without an instance, a suspect that was served.
+type row struct {
+	Service  string      `json:"service"`
+	Instance string      `json:"instance"`
+	Suspects []Mark      `json:"suspects"`
+	Served   Fingerprint `json:"served"`
+}
+
+// rowName returns the name of the row that a daemon writes for an instance.
+func rowName(instance, daemon string) string {
+	sum := sha256.Sum256([]byte(instance))
+	return hex.EncodeToString(sum[:12]) + "-" + daemon
+}
+
+// servedName returns the name of the row that says that a suspect was served.
+func servedName(f Fingerprint) string { return "served-" + f.String() }
+
+// record is a row with the time at which this daemon learned of it.
+type record struct {
+	row
+	seenAt time.Time
+}
+
+func decodeRow(r storer.Row) (row, error) {
+	var v row
+	if err := json.Unmarshal(r.Value, &v); err != nil {
+		return row{}, errors.Wrapf(err, "crash row %q", r.Name())
+	}
+	if len(v.Suspects) > maxSuspects || v.Instance == "" && v.Served == (Fingerprint{}) {
+		return row{}, errors.Errorf("crash row %q has %d suspects, and neither an instance nor a served request", r.Name(), len(v.Suspects))
+	}
+	return v, nil
+}
--- a/internal/selector/coordinator.go
+++ b/internal/selector/coordinator.go
@@ -28,20 +28,32 @@
 	Lasts time.Duration
 	// Limits are limits by instance that the coordinator did not know of.
 	Limits map[string]Limit
+	// Suspicion is what is known against the request.
+	Suspicion Suspicion
 	// Missed is the address of the coordinator in whose place this one is asked, empty for
 	// none.
 	Missed string
 }
 
+// demand returns what the request asks of the replicas.
+func (q *PlaceRequest) demand() demand {
+	tried := make(map[string]bool, len(q.Tried))
+	for _, instance := range q.Tried {
+		tried[instance] = true
+	}
+	return demand{service: q.Service, work: q.Work, tried: tried, remaining: q.Lasts, suspicion: q.Suspicion}
+}
+
 // PlaceReply answers a PlaceRequest.
 type PlaceReply struct {
 	Found bool
 	// Closed means that the daemon is about to stop and places no requests for peers.
 	Closed bool
 	Seat   Placement
-	// Limited means that all replicas are at their limits, the first of them for RetryAfter.
-	Limited    bool
+	// Busy means that no replica takes the request before RetryAfter, because of Reason.
+	Busy       bool
 	RetryAfter time.Duration
+	Reason     string
 }
 
 // Report carries a replica's load, the end of a request, or both.
@@ -80,10 +92,6 @@
 		r.Closed = true
 		return nil
 	}
-	tried := make(map[string]bool, len(q.Tried))
-	for _, instance := range q.Tried {
-		tried[instance] = true
-	}
 	s.askedAt.Store(time.Now().UnixNano())
 	if q.Missed != "" && s.coordinators.FailedForPeer(q.Missed) {
 		// An empty report shows whether this daemon reaches it.
@@ -92,15 +100,15 @@
 	for instance, limit := range q.Limits {
 		s.views.limits.learn(instance, limit, time.Now())
 	}
-	placement, replica, err := s.views.choose(q.Service, q.Work, tried, s.scope(q.Service.Name), q.Lasts)
-	var limited *LimitError
-	if errors.As(err, &limited) {
-		r.Limited, r.RetryAfter = true, limited.after
+	placement, replica, err := s.views.choose(q.demand(), s.scope(q.Service.Name))
+	var busy *BusyError
+	if errors.As(err, &busy) {
+		r.Busy, r.RetryAfter, r.Reason = true, busy.after, busy.reason
 	}
 	if r.Seat, r.Found = placement, replica != nil; r.Found {
 		s.placedForPeers.Add(1)
 		now := time.Now()
-		s.peerPlacements.add(q.ID, peerPlacement{instance: r.Seat.Instance, at: now, until: now.Add(q.Lasts + expiryMargin)})
+		s.peerPlacements.add(q.ID, peerPlacement{instance: r.Seat.Instance, suspicion: q.Suspicion, at: now, until: now.Add(q.Lasts + expiryMargin)})
 	}
 	return nil
 }
@@ -126,7 +134,7 @@
 			s.views.reportLoad(instance, p.Load)
 		}
 		if p.Ended {
-			s.views.end(instance, p.Outcome)
+			s.views.end(instance, placed.suspicion, p.Outcome)
 		}
 	}
 	return nil
@@ -142,6 +150,7 @@
 // the time at which the placement expires.
 type peerPlacement struct {
 	instance  string
+	suspicion Suspicion
 	at, until time.Time
 }
 
@@ -165,14 +174,14 @@
 	return p, ok
 }
 
-// expire releases the placements that are past their expiry, and returns their replicas.
-func (t *peerPlacements) expire(now time.Time) []string {
+// expire releases the placements that are past their expiry, and returns them.
+func (t *peerPlacements) expire(now time.Time) []peerPlacement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var expired []string
+	var expired []peerPlacement
 	for id, p := range t.placements {
 		if now.After(p.until) {
-			expired = append(expired, p.instance)
+			expired = append(expired, p)
 			delete(t.placements, id)
 		}
 	}
--- a/internal/selector/error.go
+++ b/internal/selector/error.go
@@ -10,17 +10,23 @@
 // ErrNoReplica is returned if the service has no usable replica that was not tried.
 var ErrNoReplica = errors.New("no replica is available")
 
-// LimitError is returned if each replica is at its limit for longer than the request may
-// wait.
-type LimitError struct {
+// The reasons of a BusyError.
+const (
+	atLimits = "all replicas are at the limits that they named"
+	inTrial  = "requests that were at several crashes of replicas are tried one at a time"
+)
+
+// BusyError is returned if no replica takes the request for longer than it may wait.
+type BusyError struct {
+	reason string
 	// after is the time until a replica takes the next request.
 	after time.Duration
 }
 
-// RetryAfter returns the time after which a replica has room again.
-func (e *LimitError) RetryAfter() time.Duration { return e.after }
+// RetryAfter returns the time after which a replica takes the request.
+func (e *BusyError) RetryAfter() time.Duration { return e.after }
 
 // Error implements error.
-func (e *LimitError) Error() string {
-	return fmt.Sprintf("all replicas are at the limits that they named for another %v", e.after.Round(time.Millisecond))
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("%s, for another %v", e.reason, e.after.Round(time.Millisecond))
 }
--- a/internal/selector/limits_test.go
+++ b/internal/selector/limits_test.go
@@ -230,7 +230,7 @@
 		for err == nil {
 			_, err = zones[0].daemons[0].selector.Choose(context.Background(), newRequest())
 		}
-		var limited *selector.LimitError
+		var limited *selector.BusyError
 		is.True(errors.As(err, &limited))
 		is.True(limited.RetryAfter() > 0 && limited.RetryAfter() <= 5*time.Second)
 	})
--- a/internal/selector/placement.go
+++ b/internal/selector/placement.go
@@ -1,6 +1,10 @@
 package selector
 
-import "time"
+import (
+	"time"
+
+	"pimentorail.example/pimentorail/internal/isolator"
+)
 
 // Service is the service that a request calls.
 type Service struct {
@@ -25,6 +29,19 @@
 	Wait  time.Duration
 }
 
+// Suspicion is what is known against a request that was at replicas when they crashed. It is
+// placed apart from others, so that a further crash shows which of them is the cause.
+type Suspicion struct {
+	Fingerprint isolator.Fingerprint
+	// Crashes is the number of crashes at which the request was, zero for one that is not
+	// suspect.
+	Crashes int
+}
+
+// alone reports whether the request is to be the only one of its kind in flight, at a replica
+// with as few other requests as possible.
+func (s Suspicion) alone() bool { return s.Crashes >= 2 }
+
 // Outcome is the result of a request as far as it concerns the replica.
 type Outcome int
 
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -91,8 +91,8 @@
 		select {
 		case <-time.After(evictPeriod):
 			s.views.evictIdle()
-			for _, instance := range s.peerPlacements.expire(time.Now()) {
-				s.views.end(instance, Unknown)
+			for _, p := range s.peerPlacements.expire(time.Now()) {
+				s.views.end(p.instance, p.suspicion, Unknown)
 			}
 		case <-s.tomb.Dying():
 			return nil
@@ -108,6 +108,13 @@
 	Tried map[string]bool
 	// Deadline is the latest end of the request.
 	Deadline time.Time
+	// Suspicion is what is known against the request.
+	Suspicion Suspicion
+}
+
+// demand returns what the request asks of the replicas.
+func (q *Request) demand() demand {
+	return demand{service: q.Service, work: q.Work, tried: q.Tried, remaining: time.Until(q.Deadline), suspicion: q.Suspicion}
 }
 
 // Choice is a chosen replica. The caller must call End when the request is over.
@@ -121,11 +128,12 @@
 	coordinator assigner.Peer
 	id          string
 	chosenAt    time.Time
+	suspicion   Suspicion
 }
 
 // Choose chooses the best replica that was not tried, at the service's coordinator or,
 // failing that, by this daemon's own estimates. It returns once the request may be sent,
-// or ErrNoReplica, a LimitError or the error of the context.
+// or ErrNoReplica, a BusyError or the error of the context.
 func (s *Selector) Choose(ctx context.Context, q Request) (*Choice, error) {
 	c, err := s.choose(ctx, q)
 	if err != nil || c.Wait == 0 {
@@ -158,11 +166,11 @@
 			break
 		}
 	}
-	placement, replica, err := s.views.choose(q.Service, q.Work, q.Tried, s.scope(q.Service.Name), time.Until(q.Deadline))
+	placement, replica, err := s.views.choose(q.demand(), s.scope(q.Service.Name))
 	if err != nil {
 		return nil, err
 	}
-	return &Choice{Placement: placement, Replica: replica, selector: s, chosenAt: time.Now()}, nil
+	return &Choice{Placement: placement, Replica: replica, selector: s, chosenAt: time.Now(), suspicion: q.Suspicion}, nil
 }
 
 // scope returns whose requests this daemon counts against the limits of a service: those of
@@ -189,9 +197,9 @@
 }
 
 // askCoordinator lets the coordinator choose. It returns nil if another coordinator or this
-// daemon has to choose, and a LimitError if the coordinator has no room at any replica.
+// daemon has to choose, and a BusyError if the coordinator has no room at any replica.
 func (s *Selector) askCoordinator(ctx context.Context, coordinator assigner.Peer, q Request) (*Choice, error) {
-	p := PlaceRequest{Service: q.Service, Work: q.Work, Lasts: time.Until(q.Deadline)}
+	p := PlaceRequest{Service: q.Service, Work: q.Work, Lasts: time.Until(q.Deadline), Suspicion: q.Suspicion}
 	if s.views.limits.count() > 0 {
 		p.Missed = s.coordinators.Passed(q.Service.Name)
 	}
@@ -216,9 +224,9 @@
 	defer cancel()
 	var r PlaceReply
 	err := s.peers.Call(callCtx, coordinator.Address, placeMethod, p, &r)
-	if r.Limited && err == nil {
+	if r.Busy && err == nil {
 		s.coordinators.Answered(coordinator.Address)
-		return nil, &LimitError{after: r.RetryAfter}
+		return nil, &BusyError{reason: r.Reason, after: r.RetryAfter}
 	}
 	if err != nil || !r.Found {
 		if (err != nil || r.Closed) && s.coordinators.Failed(coordinator.Address) {
@@ -230,11 +238,11 @@
 		return nil, nil
 	}
 	s.coordinators.Answered(coordinator.Address)
-	c := &Choice{Placement: r.Seat, CoordinatorName: coordinator.Name, selector: s, coordinator: coordinator, id: p.ID, chosenAt: time.Now()}
+	c := &Choice{Placement: r.Seat, CoordinatorName: coordinator.Name, selector: s, coordinator: coordinator, id: p.ID, chosenAt: time.Now(), suspicion: p.Suspicion}
 	if r.Seat.Limit.Rate > 0 {
 		s.views.limits.learn(r.Seat.Instance, r.Seat.Limit, time.Now())
 	}
-	if c.Replica = s.views.begin(p.Service, p.Work, r.Seat.Instance); c.Replica == nil {
+	if c.Replica = s.views.begin(p.demand(), r.Seat.Instance); c.Replica == nil {
 		// The replica is usable at the coordinator, but not yet or no longer here.
 		s.reporter.enqueue(coordinator, Report{ID: p.ID, Ended: true, Outcome: Unknown, Leaving: s.views.tracker.IsLeaving(r.Seat.Instance)})
 		return nil, nil
@@ -266,6 +274,9 @@
 	return limits.report(c.Instance, rate, c.chosenAt, now)
 }
 
+// IsEnding reports whether the replica has announced its end, in a response or in its row.
+func (c *Choice) IsEnding() bool { return c.selector.views.tracker.IsEnding(c.Replica) }
+
 // ReportLeaving records that the replica announced its end, and reports it to the
 // coordinator if that chose the replica. It returns true for the first announcement.
 func (c *Choice) ReportLeaving() bool {
@@ -279,7 +290,7 @@
 // End records the end of the request, and reports it to the coordinator if that chose
 // the replica.
 func (c *Choice) End(outcome Outcome) {
-	c.selector.views.end(c.Instance, outcome)
+	c.selector.views.end(c.Instance, c.suspicion, outcome)
 	if c.id != "" {
 		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Ended: true, Outcome: outcome})
 	}
--- a/internal/selector/views.go
+++ b/internal/selector/views.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"pimentorail.example/pimentorail/internal/isolator"
 	"pimentorail.example/pimentorail/internal/prioritizer"
 	"pimentorail.example/pimentorail/internal/ranker"
 	"pimentorail.example/pimentorail/internal/tracker"
@@ -24,31 +25,52 @@
 
 	mu      sync.Mutex
 	tracked map[string]*tracked
+	// trials holds the suspect requests that are alone in flight, with the times at which
+	// these end at the latest.
+	trials map[isolator.Fingerprint]time.Duration
+	// suspectsInFlight is the number of suspect requests in flight at all replicas.
+	suspectsInFlight int
 }
 
 // tracked is a view with the time of its last use.
 type tracked struct {
 	view     *ranker.View
 	lastUsed time.Duration
+	// suspects are the suspect requests in flight, and alone those of them that are to be
+	// alone.
+	suspects, alone int
 }
 
 func newViews(t *tracker.Tracker, zone string, l *limits) *views {
-	return &views{tracker: t, zone: zone, costs: ranker.DefaultCosts, start: time.Now(), limits: l, tracked: map[string]*tracked{}}
+	return &views{tracker: t, zone: zone, costs: ranker.DefaultCosts, start: time.Now(), limits: l, tracked: map[string]*tracked{}, trials: map[isolator.Fingerprint]time.Duration{}}
 }
 
 func (s *views) now() time.Duration { return time.Since(s.start) }
 
+// demand is what a request asks of the replicas.
+type demand struct {
+	service   Service
+	work      ranker.Work
+	tried     map[string]bool
+	remaining time.Duration
+	suspicion Suspicion
+}
+
 // choose chooses the best replica that was not tried, and counts the request as in flight
-// there and against its limit. It returns ErrNoReplica or a LimitError if there is none.
-func (s *views) choose(v Service, w ranker.Work, tried map[string]bool, by scope, remaining time.Duration) (Placement, *tracker.Replica, error) {
+// there and against its limit. It returns ErrNoReplica or a BusyError if there is none.
+func (s *views) choose(q demand, by scope) (Placement, *tracker.Replica, error) {
+	v, w := q.service, q.work
 	usable := s.tracker.Usable(v.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	if until := s.trials[q.suspicion.Fingerprint]; q.suspicion.alone() && now < until {
+		return Placement{}, nil, &BusyError{reason: inTrial, after: min(until-now, trialRetryAfter)}
+	}
 	list := make([]*ranker.View, 0, len(usable))
 	candidates := make([]*tracker.Replica, 0, len(usable))
 	for _, r := range usable {
-		if tried[r.Instance()] {
+		if q.tried[r.Instance()] {
 			continue
 		}
 		view := s.view(r, v, now)
@@ -56,10 +78,16 @@
 		list = append(list, view)
 		candidates = append(candidates, r)
 	}
-	var limited *LimitError
+	var limited *BusyError
 	if s.limits.count() > 0 {
 		underWay := !w.Model || ranker.UnderWay(list, w.Parts)
-		list, candidates, limited = s.withRoom(list, candidates, w, now, prioritizer.MaxWait(remaining, underWay))
+		list, candidates, limited = s.withRoom(list, candidates, w, now, prioritizer.MaxWait(q.remaining, underWay))
+	}
+	if q.suspicion.alone() && s.noPlaceApart(candidates) {
+		return Placement{}, nil, &BusyError{reason: inTrial, after: trialRetryAfter}
+	}
+	if s.suspectsInFlight > 0 || q.suspicion.alone() {
+		list, candidates = s.apart(list, candidates, q.suspicion, now)
 	}
 	i := s.costs.Choose(list, w, now, rand.IntN)
 	switch {
@@ -76,21 +104,22 @@
 	}
 	view.Begin(w, now)
 	s.limits.book(placement.Instance, by, time.Now())
+	s.beginSuspect(placement.Instance, q.suspicion, now+q.remaining)
 	return placement, candidates[i], nil
 }
 
 // withRoom removes the replicas that begin to run a request later than in maxWait: those at
 // their limits, and those without a limit whose queues have grown because of the others. It
-// returns a LimitError with the shortest delay of these.
-func (s *views) withRoom(views []*ranker.View, replicas []*tracker.Replica, w ranker.Work, now, maxWait time.Duration) ([]*ranker.View, []*tracker.Replica, *LimitError) {
-	var limited *LimitError
+// returns a BusyError with the shortest delay of these.
+func (s *views) withRoom(views []*ranker.View, replicas []*tracker.Replica, w ranker.Work, now, maxWait time.Duration) ([]*ranker.View, []*tracker.Replica, *BusyError) {
+	var limited *BusyError
 	n := 0
 	for i, v := range views {
 		if delay := s.costs.Delay(v, w, now); delay <= maxWait {
 			views[n], replicas[n] = v, replicas[i]
 			n++
 		} else if limited == nil || delay < limited.after {
-			limited = &LimitError{after: delay}
+			limited = &BusyError{reason: atLimits, after: delay}
 		}
 	}
 	return views[:n], replicas[:n], limited
@@ -98,13 +127,15 @@
 
 // begin counts a request as in flight at a replica that the coordinator chose. It
 // returns nil if this daemon does not know the replica as usable.
-func (s *views) begin(v Service, w ranker.Work, instance string) *tracker.Replica {
+func (s *views) begin(q demand, instance string) *tracker.Replica {
+	v, w := q.service, q.work
 	for _, r := range s.tracker.Usable(v.Name) {
 		if r.Instance() == instance {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			now := s.now()
 			s.view(r, v, now).Begin(w, now)
+			s.beginSuspect(instance, q.suspicion, now+q.remaining)
 			return r
 		}
 	}
@@ -144,7 +175,7 @@
 }
 
 // end records the end of a request at a replica.
-func (s *views) end(instance string, outcome Outcome) {
+func (s *views) end(instance string, p Suspicion, outcome Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.tracked[instance]
@@ -152,6 +183,7 @@
 		return
 	}
 	e.view.End()
+	s.endSuspect(e, p)
 	switch outcome {
 	case Served:
 		e.view.Succeeded()
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -3,6 +3,7 @@
 import (
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/follower"
+	"pimentorail.example/pimentorail/internal/isolator"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/storer"
 )
@@ -12,6 +13,11 @@
 	return follower.Options{Table: table, LongPoll: configWait, PollInterval: configBackoff, Timeout: followTimeout, VerifyAfter: configVerifyAfter}
 }
 
+// crashOptions returns the options with which the crashes of replicas are followed.
+func crashOptions() follower.Options {
+	return follower.Options{Table: isolator.Table, LongPoll: crashWait, PollInterval: configBackoff, Timeout: followTimeout, VerifyAfter: configVerifyAfter}
+}
+
 // configSink decodes the configuration row to a catalog and applies each newer version.
 type configSink struct {
 	keeper    *cataloger.Keeper
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -21,6 +21,7 @@
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/forwarder"
 	"pimentorail.example/pimentorail/internal/granter"
+	"pimentorail.example/pimentorail/internal/isolator"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/relayer"
 	"pimentorail.example/pimentorail/internal/reporter"
@@ -39,6 +40,8 @@
 	// configVerifyAfter is how long after an outage of the store the configuration is read
 	// in full.
 	configVerifyAfter = time.Second
+	// crashWait is how long the store may hold a request for new crashes of replicas.
+	crashWait = 2 * time.Second
 	// registryPeriod is the time between two reads of the changes of the registry of
 	// replicas.
 	registryPeriod = 700 * time.Millisecond
@@ -94,6 +97,7 @@
 	budgets      *budgeter.Budgeter
 	programs     *granter.Granter
 	placements   *selector.Selector
+	isolator     *isolator.Isolator
 	forwarder    *forwarder.Forwarder
 	stopping     atomic.Bool
 	clientServer *http.Server
@@ -143,8 +147,9 @@
 	})
 	d.relayer.Register(granter.ServiceName, d.programs.Service())
 	d.relayer.Register(selector.ServiceName, d.placements.Coordinator())
+	d.isolator = isolator.Start(ctx, d.relayer, d.logger, isolator.Options{Name: o.Name, Crashed: connector.Refused})
 	d.forwarder = forwarder.New(forwarder.Dependencies{
-		Catalog: d.catalog, Placements: d.placements, Programs: d.programs,
+		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator,
 		Logger: d.logger, Scope: d.metrics.Scope(), Codec: p.Codec,
 	}, forwarder.Options{
 		StoreTimeout: storeTimeout, RetryAfter: retryAfter, OutageRetryAfter: outageRetryAfter, Daemons: d.estimateDaemons,
@@ -170,6 +175,7 @@
 	follower.Start(ctx, d.relayer, &registrySink{
 		tracker: d.tracker, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog,
 	}, registryOptions(d.platform.ReplicaTable))
+	follower.Start(ctx, d.relayer, d.isolator, crashOptions())
 	d.clientServer = d.newServer(d.closeWhenStopping(d.platform.Ingress(d.forwarder, d.catalog)))
 	d.readyServer = d.newServer(d.readyHandler())
 	if err := d.serve(d.clientServer, d.options.ClientAddress); err != nil {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -78,6 +78,15 @@
 	return known
 }
 
+// IsEnding reports whether an instance announced its end, in a response or in its row.
+func (t *Tracker) IsEnding(r *Replica) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	_, leaving := t.leaving[r.instance]
+	e := t.entries[r.ID]
+	return leaving || e != nil && e.replica.instance == r.instance && e.replica.Draining
+}
+
 // Len returns the number of known replicas, usable or not.
 func (t *Tracker) Len() int {
 	t.mu.RLock()
