--- a/internal/emulator/feed.go
+++ b/internal/emulator/feed.go
@@ -23,11 +23,21 @@
 
 // Changes implements storer.Feed.
 func (s *Store) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+	return s.waitForChanges(ctx, storer.Prefix(table), after, wait)
+}
+
+// ChangesOfAll is like Changes for all partitions of a table together.
+func (s *Store) ChangesOfAll(ctx context.Context, table string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+	return s.waitForChanges(ctx, table+"/", after, wait)
+}
+
+// waitForChanges returns the changes of the rows with a prefix.
+func (s *Store) waitForChanges(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
 	if err := s.applyFaults(ctx); err != nil {
 		return nil, 0, err
 	}
 	for end := time.Now().Add(wait); ; {
-		changes, version, err := s.changesSince(table, after)
+		changes, version, err := s.changesSince(prefix, after)
 		if err != nil || len(changes) > 0 || !time.Now().Before(end) {
 			return changes, version, err
 		}
@@ -39,7 +49,7 @@
 	}
 }
 
-func (s *Store) changesSince(table string, after uint64) ([]storer.Change, uint64, error) {
+func (s *Store) changesSince(prefix string, after uint64) ([]storer.Change, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if after < s.droppedVersion {
@@ -48,7 +58,7 @@
 	first := sort.Search(len(s.changes), func(i int) bool { return s.changes[i].Version > after })
 	var changes []storer.Change
 	for _, c := range s.changes[first:] {
-		if strings.HasPrefix(c.Key, storer.Prefix(table)) {
+		if strings.HasPrefix(c.Key, prefix) {
 			changes = append(changes, c)
 		}
 	}
