--- a/internal/selector/fixture_test.go
+++ b/internal/selector/fixture_test.go
@@ -12,6 +12,7 @@
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/messenger"
 	"pimentorail.example/pimentorail/internal/selector"
+	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
@@ -43,6 +44,11 @@
 // newZone starts daemons that share replicas with the given number of slots each. With
 // alone set, the daemons have no peers.
 func newZone(daemons, replicas, slots int, alone bool) *zone {
+	return newNamedZone("z", nil, daemons, replicas, slots, alone)
+}
+
+// newNamedZone is newZone with a name and a table that it shares with other zones.
+func newNamedZone(name string, table storer.Table, daemons, replicas, slots int, alone bool) *zone {
 	ctx, cancel := context.WithCancel(context.Background())
 	z := &zone{cancel: cancel}
 	for i := range daemons {
@@ -58,7 +64,7 @@
 			peers = d
 		}
 		d.selector = selector.Start(ctx, t, peers, logger.Start(ctx, io.Discard), selector.Options{
-			Zone: "z", VM: d.address, Name: d.address + "-1", Zones: zonesOfDeployment, Daemons: func() int { return zonesOfDeployment * daemons },
+			Zone: name, Table: table, VM: d.address, Name: d.address + "-1", Zones: zonesOfDeployment, Daemons: func() int { return zonesOfDeployment * daemons },
 		})
 		d.coordinator = d.selector.Coordinator()
 		z.daemons = append(z.daemons, d)
--- a/internal/selector/limits.go
+++ b/internal/selector/limits.go
@@ -37,16 +37,16 @@
 // limits holds the limits that replicas name in their responses, by instance. A limit lasts
 // until a response to a request that was sent after it was last named has none.
 type limits struct {
-	// shares returns the part of a limit that is a scope's to use.
-	shares func(scope) float64
-	start  time.Time
+	// share returns the part of a limit of a service's replica that is a scope's to use.
+	share func(s scope, service string) float64
+	start time.Time
 
 	mu    sync.Mutex
 	named map[string]*namedLimit
 }
 
-func newLimits(shares func(scope) float64) *limits {
-	return &limits{shares: shares, start: time.Now(), named: map[string]*namedLimit{}}
+func newLimits(share func(s scope, service string) float64) *limits {
+	return &limits{share: share, start: time.Now(), named: map[string]*namedLimit{}}
 }
 
 // report records the rate that a response named, zero for none, to a request that was sent
@@ -75,7 +75,7 @@
 	if n == nil {
 		n = &namedLimit{rate: limit.Rate, namedAt: at}
 		for s := range scopeCount {
-			n.paces[s].Start(now.Sub(l.start), l.interval(n, s))
+			n.paces[s].Start(now.Sub(l.start), l.interval(n, s, ""))
 		}
 		l.named[instance] = n
 		return true
@@ -120,18 +120,18 @@
 	return n.paces[s].Wait(now.Sub(l.start))
 }
 
-// book counts a request of a scope against the limit of an instance.
-func (l *limits) book(instance string, s scope, now time.Time) {
+// book counts a request of a scope against the limit of an instance of a service.
+func (l *limits) book(service, instance string, s scope, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if n := l.named[instance]; n != nil {
-		n.paces[s].Book(now.Sub(l.start), l.interval(n, s))
+		n.paces[s].Book(now.Sub(l.start), l.interval(n, s, service))
 	}
 }
 
 // interval returns the time between two requests of a scope.
-func (l *limits) interval(n *namedLimit, s scope) time.Duration {
-	return time.Duration(float64(time.Second) / (n.rate * l.shares(s)))
+func (l *limits) interval(n *namedLimit, s scope, service string) time.Duration {
+	return time.Duration(float64(time.Second) / (n.rate * l.share(s, service)))
 }
 
 // count returns the number of instances with a limit.
--- a/internal/selector/limits_test.go
+++ b/internal/selector/limits_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"pimentorail.example/pimentorail/internal/emulator"
 	"pimentorail.example/pimentorail/internal/ranker"
 	"pimentorail.example/pimentorail/internal/selector"
 )
@@ -133,8 +134,8 @@
 // newLimitedZones starts three zones of four daemons each, before five replicas.
 func newLimitedZones() []*zone {
 	var zones []*zone
-	for range zonesOfDeployment {
-		zones = append(zones, newZone(4, 5, 12, false))
+	for n := range zonesOfDeployment {
+		zones = append(zones, newNamedZone(fmt.Sprint("z", n), nil, 4, 5, 12, false))
 	}
 	return zones
 }
@@ -263,3 +264,34 @@
 		is.Equal(s.LimitedReplicas(), 0)
 	})
 }
+
+// TestAZonesPartOfALimitFollowsItsDemand guards against a zone with most of the traffic that
+// has an equal part of each limit, while the parts of the others lie unused; and against more
+// than the limit while the traffic moves from one zone to another or the table is unavailable.
+func TestAZonesPartOfALimitFollowsItsDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := emulator.NewStore()
+		var zones []*zone
+		for n := range zonesOfDeployment {
+			zones = append(zones, newNamedZone(fmt.Sprint("z", n), store, 4, 5, 12, false))
+		}
+		defer stopAll(zones)
+		fleet := newLimitedFleet(map[string]float64{"r0": 3, "r1": 6, "r2": 4, "r3": 3, "r4": 4})
+		random := rand.New(rand.NewPCG(25, 5))
+		began := time.Now()
+		fleet.send(zones[:1], 60, 12*time.Second, random)
+		settled := fleet.total()
+		fleet.send(zones[:1], 60, 10*time.Second, random)
+		// The limits sum up to 20 a second; the two idle zones keep an equal part of a half.
+		is.True(float64(fleet.total()-settled) >= 0.6*20*10)
+		fleet.send(zones[1:2], 60, 8*time.Second, random)
+		store.SetFaults(emulator.StoreFaults{Down: true})
+		fleet.send(zones[2:], 60, 6*time.Second, random)
+		fleet.send(zones, 60, 6*time.Second, random)
+		store.SetFaults(emulator.StoreFaults{})
+		fleet.send(zones, 60, 10*time.Second, random)
+		time.Sleep(time.Second)
+		is.Equal(fleet.excess(began.Add(limitSettles)), "")
+	})
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -11,6 +11,7 @@
 	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/ranker"
+	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
@@ -41,12 +42,16 @@
 	// daemons in all of them. They share the limits that replicas name. Daemons may be nil.
 	Zones   int
 	Daemons func() int
+	// Table is where the coordinators of the zones exchange their demand while replicas have
+	// limits. Without it the zones have equal parts of a limit.
+	Table storer.Table
 }
 
 // Selector chooses replicas for one daemon.
 type Selector struct {
 	options        Options
 	views          *views
+	shares         *shares
 	peers          assigner.Peers
 	coordinators   *assigner.Assigner
 	logger         *logger.Logger
@@ -64,10 +69,12 @@
 // Start returns a selector that runs until the context ends; peers may be nil.
 func Start(ctx context.Context, t *tracker.Tracker, peers assigner.Peers, r *logger.Logger, o Options) *Selector {
 	s := &Selector{options: o, peers: peers, coordinators: assigner.New(o.VM, peers), logger: r}
+	s.shares = newShares(o.Table, o.Zone, o.Zones)
 	s.views = newViews(t, o.Zone, newLimits(s.shareOfLimits))
 	s.tomb, _ = tomb.WithContext(ctx)
 	s.reporter = &reporter{selector: s, queue: make(chan addressedReport, maxReports)}
 	s.tomb.Go(s.run)
+	s.tomb.Go(s.exchangeLoop)
 	s.tomb.Go(s.reporter.run)
 	return s
 }
@@ -85,6 +92,28 @@
 // Leave stops placing requests for other daemons, before a planned stop.
 func (s *Selector) Leave() { s.leaving.Store(true) }
 
+// exchangeLoop exchanges the demand of the zones while replicas have limits.
+func (s *Selector) exchangeLoop() error {
+	failing := false
+	for {
+		select {
+		case <-time.After(demandPeriod):
+		case <-s.tomb.Dying():
+			return nil
+		}
+		if s.views.limits.count() == 0 {
+			s.shares.forget()
+			continue
+		}
+		err := s.shares.exchange(s.tomb.Context(nil), s.leads)
+		if err != nil && !failing {
+			// In logs, "seater" is the selector.
+			s.logger.Event("seater", "demand not exchanged").Err(err).End()
+		}
+		failing = err != nil
+	}
+}
+
 // run periodically evicts idle views and expired placements.
 func (s *Selector) run() error {
 	for {
@@ -176,22 +205,30 @@
 // scope returns whose requests this daemon counts against the limits of a service: those of
 // the zone if it is the coordinator and the other daemons reach it.
 func (s *Selector) scope(service string) scope {
-	if !s.coordinators.Leads(service) || s.isIsolated() {
+	if !s.leads(service) {
 		return daemonScope
 	}
+	if s.views.limits.count() > 0 {
+		s.shares.count(service)
+	}
 	return zoneScope
 }
 
+// leads reports whether this daemon counts the requests of its zone to a service.
+func (s *Selector) leads(service string) bool {
+	return s.coordinators.Leads(service) && !s.isIsolated()
+}
+
 // isIsolated reports whether no peer has asked this daemon for a while though there are
 // peers, which may then have another coordinator.
 func (s *Selector) isIsolated() bool {
 	return s.peers != nil && len(s.peers.Others()) > 0 && time.Since(time.Unix(0, s.askedAt.Load())) > isolatedAfter
 }
 
-// shareOfLimits returns the part of a replica's limit that is a scope's to use.
-func (s *Selector) shareOfLimits(of scope) float64 {
+// shareOfLimits returns the part of the limit of a service's replica that is a scope's to use.
+func (s *Selector) shareOfLimits(of scope, service string) float64 {
 	if of == zoneScope || s.options.Daemons == nil {
-		return 1 / float64(max(1, s.options.Zones))
+		return s.shares.of(service, time.Now())
 	}
 	return standInShare / float64(max(1, s.options.Daemons()))
 }
--- a/internal/selector/views.go
+++ b/internal/selector/views.go
@@ -103,7 +103,7 @@
 		Limit: s.limits.of(candidates[i].Instance(), time.Now()), Wait: view.Wait,
 	}
 	view.Begin(w, now)
-	s.limits.book(placement.Instance, by, time.Now())
+	s.limits.book(v.Name, placement.Instance, by, time.Now())
 	s.beginSuspect(placement.Instance, q.suspicion, now+q.remaining)
 	return placement, candidates[i], nil
 }
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -143,7 +143,7 @@
 	d.budgets = budgeter.Start(ctx, d.relayer, o.Name)
 	d.programs = granter.Start(ctx, d.turns, d.budgets, d.relayer, d.logger, granter.Options{VM: o.VM, Name: o.Name})
 	d.placements = selector.Start(ctx, d.tracker, d.relayer, d.logger, selector.Options{
-		Zone: o.Zone, VM: o.VM, Name: o.Name, Zones: o.Zones, Daemons: d.estimateDaemons,
+		Zone: o.Zone, VM: o.VM, Name: o.Name, Zones: o.Zones, Daemons: d.estimateDaemons, Table: d.relayer,
 	})
 	d.relayer.Register(granter.ServiceName, d.programs.Service())
 	d.relayer.Register(selector.ServiceName, d.placements.Coordinator())
