--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -113,7 +113,7 @@
 }
 
 // FailedForPeer records that another daemon reported the failure of a peer. It returns true
-// if this daemon has not tried the peer since it failed here, or never saw it fail.
+// if the peer is not excluded here, so that the daemon should try it.
 func (a *Assigner) FailedForPeer(address string) bool {
 	now := time.Now()
 	a.mu.Lock()
--- /dev/null
+++ b/internal/selector/choice.go
@@ -0,0 +1,69 @@
+package selector
+
+import (
+	"time"
+
+	"pimentorail.example/pimentorail/internal/assigner"
+	"pimentorail.example/pimentorail/internal/ranker"
+	"pimentorail.example/pimentorail/internal/tracker"
+)
+
+// Choice is a chosen replica. The caller must call End when the request is over.
+type Choice struct {
+	Placement
+	Replica *tracker.Replica
+	// CoordinatorName is the name of the coordinator that chose, empty if this daemon chose itself.
+	CoordinatorName string
+
+	selector    *Selector
+	coordinator assigner.Peer
+	id          string
+	chosenAt    time.Time
+	suspicion   Suspicion
+}
+
+// ReportLoad records a load report of the replica, and sends it to the coordinator if
+// that chose the replica.
+func (c *Choice) ReportLoad(l ranker.Load) {
+	c.selector.views.reportLoad(c.Instance, l)
+	if c.id != "" {
+		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Load: l, Loaded: true})
+	}
+}
+
+// ReportLimit records the limit that the replica named in its response, in requests a
+// second and zero for none, and reports it to the coordinator if that chose the replica. It
+// returns true if this daemon knew another limit or none.
+func (c *Choice) ReportLimit(rate float64) bool {
+	limits := c.selector.views.limits
+	now := time.Now()
+	if rate == 0 && c.Limit.Rate == 0 && limits.of(c.Instance, now).Rate == 0 {
+		return false
+	}
+	if c.id != "" {
+		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Limit: rate, Limited: true})
+	}
+	return limits.report(c.Instance, rate, c.chosenAt, now)
+}
+
+// IsEnding reports whether the replica has announced its end, in a response or in its row.
+func (c *Choice) IsEnding() bool { return c.selector.views.tracker.IsEnding(c.Replica) }
+
+// ReportLeaving records that the replica announced its end, and reports it to the
+// coordinator if that chose the replica. It returns true for the first announcement.
+func (c *Choice) ReportLeaving() bool {
+	first := c.selector.views.tracker.Leave(c.Instance, time.Now())
+	if c.id != "" {
+		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Leaving: true})
+	}
+	return first
+}
+
+// End records the end of the request, and reports it to the coordinator if that chose
+// the replica.
+func (c *Choice) End(outcome Outcome) {
+	c.selector.views.end(c.Instance, c.suspicion, outcome)
+	if c.id != "" {
+		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Ended: true, Outcome: outcome})
+	}
+}
--- a/internal/selector/limits_test.go
+++ b/internal/selector/limits_test.go
@@ -295,3 +295,52 @@
 		is.Equal(fleet.excess(began.Add(limitSettles)), "")
 	})
 }
+
+// waitingCall is a request that waits for a replica with a limit.
+type waitingCall struct {
+	daemon *daemon
+	choice *selector.Choice
+	err    error
+}
+
+func (u *waitingCall) run() {
+	u.choice, u.err = u.daemon.selector.Choose(context.Background(), newRequest(ranker.Part{ID: "p", Tokens: 100}))
+}
+
+// TestAWaitingRequestLeavesAReplicaThatEnds guards against a request that is sent to a replica
+// which announced its end while the request waited because of its limit. Either of the two
+// replicas ends, one of which the request waits for.
+func TestAWaitingRequestLeavesAReplicaThatEnds(t *testing.T) {
+	for _, ending := range []string{"r0", "r1"} {
+		t.Run(ending, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				z := newZone(1, 2, 12, true)
+				defer z.stop()
+				first := map[string]*selector.Choice{}
+				for len(first) < 2 {
+					u := &waitingCall{daemon: z.daemons[0]}
+					u.run()
+					is.NoErr(u.err)
+					first[u.choice.Replica.ID] = u.choice
+				}
+				for _, c := range first {
+					c.ReportLimit(7.5) // The zone's part is one request in 0.4 s.
+				}
+				time.Sleep(200 * time.Millisecond)
+				for range 2 { // The two replicas have one place each.
+					u := &waitingCall{daemon: z.daemons[0]}
+					u.run()
+					is.NoErr(u.err)
+				}
+				u := &waitingCall{daemon: z.daemons[0]}
+				go u.run()
+				synctest.Wait()
+				is.True(u.choice == nil) // It waits.
+				first[ending].ReportLeaving()
+				time.Sleep(2 * time.Second)
+				is.True(u.choice == nil || u.choice.Replica.ID != ending)
+			})
+		})
+	}
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -92,28 +92,6 @@
 // Leave stops placing requests for other daemons, before a planned stop.
 func (s *Selector) Leave() { s.leaving.Store(true) }
 
-// exchangeLoop exchanges the demand of the zones while replicas have limits.
-func (s *Selector) exchangeLoop() error {
-	failing := false
-	for {
-		select {
-		case <-time.After(demandPeriod):
-		case <-s.tomb.Dying():
-			return nil
-		}
-		if s.views.limits.count() == 0 {
-			s.shares.forget()
-			continue
-		}
-		err := s.shares.exchange(s.tomb.Context(nil), s.leads)
-		if err != nil && !failing {
-			// In logs, "seater" is the selector.
-			s.logger.Event("seater", "demand not exchanged").Err(err).End()
-		}
-		failing = err != nil
-	}
-}
-
 // run periodically evicts idle views and expired placements.
 func (s *Selector) run() error {
 	for {
@@ -146,35 +124,25 @@
 	return demand{service: q.Service, work: q.Work, tried: q.Tried, remaining: time.Until(q.Deadline), suspicion: q.Suspicion}
 }
 
-// Choice is a chosen replica. The caller must call End when the request is over.
-type Choice struct {
-	Placement
-	Replica *tracker.Replica
-	// CoordinatorName is the name of the coordinator that chose, empty if this daemon chose itself.
-	CoordinatorName string
-
-	selector    *Selector
-	coordinator assigner.Peer
-	id          string
-	chosenAt    time.Time
-	suspicion   Suspicion
-}
-
 // Choose chooses the best replica that was not tried, at the service's coordinator or,
 // failing that, by this daemon's own estimates. It returns once the request may be sent,
 // or ErrNoReplica, a BusyError or the error of the context.
 func (s *Selector) Choose(ctx context.Context, q Request) (*Choice, error) {
-	c, err := s.choose(ctx, q)
-	if err != nil || c.Wait == 0 {
-		return c, err
-	}
-	select {
-	case <-time.After(c.Wait):
-		c.chosenAt = time.Now()
-		return c, nil
-	case <-ctx.Done():
-		c.End(Unknown)
-		return nil, ctx.Err()
+	for {
+		c, err := s.choose(ctx, q)
+		if err != nil || c.Wait == 0 {
+			return c, err
+		}
+		select {
+		case <-time.After(c.Wait):
+			if c.chosenAt = time.Now(); !c.IsEnding() {
+				return c, nil
+			}
+			c.End(Unknown) // It announced its end meanwhile, so it is not chosen again.
+		case <-ctx.Done():
+			c.End(Unknown)
+			return nil, ctx.Err()
+		}
 	}
 }
 
@@ -286,49 +254,3 @@
 	}
 	return c, nil
 }
-
-// ReportLoad records a load report of the replica, and sends it to the coordinator if
-// that chose the replica.
-func (c *Choice) ReportLoad(l ranker.Load) {
-	c.selector.views.reportLoad(c.Instance, l)
-	if c.id != "" {
-		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Load: l, Loaded: true})
-	}
-}
-
-// ReportLimit records the limit that the replica named in its response, in requests a
-// second and zero for none, and reports it to the coordinator if that chose the replica. It
-// returns true if this daemon knew another limit or none.
-func (c *Choice) ReportLimit(rate float64) bool {
-	limits := c.selector.views.limits
-	now := time.Now()
-	if rate == 0 && c.Limit.Rate == 0 && limits.of(c.Instance, now).Rate == 0 {
-		return false
-	}
-	if c.id != "" {
-		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Limit: rate, Limited: true})
-	}
-	return limits.report(c.Instance, rate, c.chosenAt, now)
-}
-
-// IsEnding reports whether the replica has announced its end, in a response or in its row.
-func (c *Choice) IsEnding() bool { return c.selector.views.tracker.IsEnding(c.Replica) }
-
-// ReportLeaving records that the replica announced its end, and reports it to the
-// coordinator if that chose the replica. It returns true for the first announcement.
-func (c *Choice) ReportLeaving() bool {
-	first := c.selector.views.tracker.Leave(c.Instance, time.Now())
-	if c.id != "" {
-		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Leaving: true})
-	}
-	return first
-}
-
-// End records the end of the request, and reports it to the coordinator if that chose
-// the replica.
-func (c *Choice) End(outcome Outcome) {
-	c.selector.views.end(c.Instance, c.suspicion, outcome)
-	if c.id != "" {
-		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Ended: true, Outcome: outcome})
-	}
-}
--- a/internal/selector/shares.go
+++ b/internal/selector/shares.go
@@ -188,3 +188,25 @@
 	clear(s.services)
 	s.since = time.Time{}
 }
+
+// exchangeLoop exchanges the demand of the zones while replicas have limits.
+func (s *Selector) exchangeLoop() error {
+	failing := false
+	for {
+		select {
+		case <-time.After(demandPeriod):
+		case <-s.tomb.Dying():
+			return nil
+		}
+		if s.views.limits.count() == 0 {
+			s.shares.forget()
+			continue
+		}
+		err := s.shares.exchange(s.tomb.Context(nil), s.leads)
+		if err != nil && !failing {
+			// In logs, "seater" is the selector.
+			s.logger.Event("seater", "demand not exchanged").Err(err).End()
+		}
+		failing = err != nil
+	}
+}
--- a/internal/selector/suspects.go
+++ b/internal/selector/suspects.go
@@ -11,6 +11,11 @@
 // and can't be now.
 const trialRetryAfter = 250 * time.Millisecond
 
+// isTried reports whether an equal request that is to be alone is in flight.
+func (s *views) isTried(p Suspicion, now time.Duration) bool {
+	return p.alone() && now < s.trials[p.Fingerprint]
+}
+
 // noPlaceApart reports whether a request that is to be alone would meet another suspect at
 // each replica.
 func (s *views) noPlaceApart(replicas []*tracker.Replica) bool {
--- a/internal/selector/views.go
+++ b/internal/selector/views.go
@@ -64,20 +64,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if until := s.trials[q.suspicion.Fingerprint]; q.suspicion.alone() && now < until {
-		return Placement{}, nil, &BusyError{reason: inTrial, after: min(until-now, trialRetryAfter)}
-	}
-	list := make([]*ranker.View, 0, len(usable))
-	candidates := make([]*tracker.Replica, 0, len(usable))
-	for _, r := range usable {
-		if q.tried[r.Instance()] {
-			continue
-		}
-		view := s.view(r, v, now)
-		view.Wait = s.limits.wait(r.Instance(), by, time.Now())
-		list = append(list, view)
-		candidates = append(candidates, r)
+	if s.isTried(q.suspicion, now) {
+		return Placement{}, nil, &BusyError{reason: inTrial, after: trialRetryAfter}
 	}
+	list, candidates := s.candidates(q, usable, by, now)
 	var limited *BusyError
 	if s.limits.count() > 0 {
 		underWay := !w.Model || ranker.UnderWay(list, w.Parts)
@@ -108,6 +98,22 @@
 	return placement, candidates[i], nil
 }
 
+// candidates returns the replicas that were not tried, with their views.
+func (s *views) candidates(q demand, usable []*tracker.Replica, by scope, now time.Duration) ([]*ranker.View, []*tracker.Replica) {
+	list := make([]*ranker.View, 0, len(usable))
+	replicas := make([]*tracker.Replica, 0, len(usable))
+	for _, r := range usable {
+		if q.tried[r.Instance()] {
+			continue
+		}
+		view := s.view(r, q.service, now)
+		view.Wait = s.limits.wait(r.Instance(), by, time.Now())
+		list = append(list, view)
+		replicas = append(replicas, r)
+	}
+	return list, replicas
+}
+
 // withRoom removes the replicas that begin to run a request later than in maxWait: those at
 // their limits, and those without a limit whose queues have grown because of the others. It
 // returns a BusyError with the shortest delay of these.
