--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -18,7 +18,10 @@
 	// maxSuspects bounds the requests that one daemon records for one crash, and maxRecords
 	// the rows that are kept in memory.
 	maxSuspects = 64
-	maxRecords  = 1024
+	maxRecords  = 2048
+	// minCleared is the number of crashes from which on it is recorded that a request was
+	// served. Fewer condemn nobody.
+	minCleared = 2
 	// suspectRetention is how long a crash counts, and condemnedRetention how long one does
 	// that condemned a request. Then the request gets another chance.
 	suspectRetention   = time.Minute
@@ -101,8 +104,8 @@
 	return len(i.verdicts) - condemned, condemned
 }
 
-// Served records that a request got a complete response. If it was suspect, all daemons learn
-// that it is not the cause of crashes.
+// Served records that a request got a complete response. If it was at several crashes, all
+// daemons learn that it is not their cause.
 func (i *Isolator) Served(m Mark) {
 	now := time.Now()
 	i.mu.Lock()
@@ -113,7 +116,7 @@
 		if _, known := i.records[name]; known {
 			continue
 		}
-		if _, suspect := i.verdicts[f]; suspect {
+		if i.verdicts[f].Crashes >= minCleared {
 			i.putOwnLocked(name, row{Served: f}, now)
 		}
 	}
@@ -165,11 +168,7 @@
 
 // putOwnLocked adds a record of this daemon and queues its row.
 func (i *Isolator) putOwnLocked(name string, r row, now time.Time) {
-	seenAt := now
-	if old, ok := i.records[name]; ok {
-		seenAt = old.seenAt
-	}
-	i.records[name] = record{r, seenAt}
+	i.addLocked(name, r, now)
 	i.unwritten[name] = r
 	i.changedLocked()
 	select {
@@ -212,17 +211,14 @@
 	now := time.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	old := i.records
-	i.records = map[string]record{}
-	for name, r := range i.unwritten {
-		i.records[name] = record{r, now}
-	}
+	listed := map[string]bool{}
 	for _, r := range rows {
+		listed[r.Name()] = true
 		i.putLocked(r, now)
 	}
-	for name, r := range i.records {
-		if o, ok := old[name]; ok {
-			i.records[name] = record{r.row, o.seenAt}
+	for name := range i.records {
+		if _, queued := i.unwritten[name]; !queued && !listed[name] {
+			i.forgetLocked(name)
 		}
 	}
 	i.changedLocked()
@@ -259,36 +255,44 @@
 		i.logger.Event("isolator", "row ignored").Err(err).End()
 		return
 	}
+	i.addLocked(r.Name(), v, now)
+}
+
+// addLocked adds or replaces a record. If there are too many, the oldest gives way.
+func (i *Isolator) addLocked(name string, r row, now time.Time) {
 	seenAt := now
-	old, known := i.records[r.Name()]
-	switch {
-	case known:
+	if old, known := i.records[name]; known {
 		seenAt = old.seenAt
-	case len(i.records) >= maxRecords:
-		return
+	} else if len(i.records) >= maxRecords {
+		oldest := ""
+		for n, o := range i.records {
+			if oldest == "" || o.seenAt.Before(i.records[oldest].seenAt) {
+				oldest = n
+			}
+		}
+		i.forgetLocked(oldest)
 	}
-	i.records[r.Name()] = record{v, seenAt}
+	i.records[name] = record{r, seenAt}
 }
 
 // run writes the queued rows and removes expired ones.
 func (i *Isolator) run() error {
 	maintenance := time.NewTicker(maintainEvery)
 	defer maintenance.Stop()
+	var retry <-chan time.Time
 	for {
 		select {
 		case <-i.wake:
-			for !i.write() {
-				select {
-				case <-time.After(writeBackoff/2 + rand.N(writeBackoff)):
-				case <-i.tomb.Dying():
-					return nil
-				}
-			}
+		case <-retry:
 		case <-maintenance.C:
 			i.expire(time.Now())
+			continue
 		case <-i.tomb.Dying():
 			return nil
 		}
+		if retry = nil; !i.write() {
+			retry = time.After(writeBackoff/2 + rand.N(writeBackoff))
+		}
 	}
 }
 
