--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -122,9 +122,9 @@
 			if a.Leaving && !a.Misdirected && c.ReportLeaving() {
 				f.logger.Event("forwarder", "replica leaving").Str("id", q.ID).Str("replica", c.Replica.ID).Str("instance", c.Instance).Int("status", r.StatusCode).End()
 			}
-			if !a.Misdirected && c.ReportLimit(a.Limit) {
+			if !a.Misdirected && c.ReportLimit(a.Limit, a.HasLimit) {
 				f.logger.Event("forwarder", "replica limit").Str("id", q.ID).Str("replica", c.Replica.ID).Str("instance", c.Instance).
-					Float("rate", a.Limit).Float("before", c.Limit.Rate).End()
+					Bool("limited", a.HasLimit).Float("rate", a.Limit).Float("before", c.Limit.Rate).End()
 			}
 			return a.RequestID == q.ID
 		},
--- a/internal/forwarder/wire.go
+++ b/internal/forwarder/wire.go
@@ -28,8 +28,10 @@
 	// Leaving reports that the replica has begun a planned stop.
 	Leaving bool
 	// Limit is the number of requests a second that the replica takes from all daemons
-	// together, zero for no limit.
+	// together; it is valid only if HasLimit is set.
 	Limit float64
+	// HasLimit reports whether the response names a limit.
+	HasLimit bool
 	// Load is the replica's load; it is valid only if HasLoad is set.
 	Load ranker.Load
 	// HasLoad reports that the response carries a load report.
--- a/internal/selector/choice.go
+++ b/internal/selector/choice.go
@@ -31,10 +31,13 @@
 	}
 }
 
-// ReportLimit records the limit that the replica named in its response, in requests a
-// second and zero for none, and reports it to the coordinator if that chose the replica. It
+// ReportLimit records the limit that the replica named in its response, in requests a second,
+// or that it named none, and reports it to the coordinator if that chose the replica. It
 // returns true if this daemon knew another limit or none.
-func (c *Choice) ReportLimit(rate float64) bool {
+func (c *Choice) ReportLimit(rate float64, named bool) bool {
+	if rate = max(rate, minRate); !named {
+		rate = 0
+	}
 	limits := c.selector.views.limits
 	now := time.Now()
 	if rate == 0 && c.Limit.Rate == 0 && limits.of(c.Instance, now).Rate == 0 {
--- a/internal/selector/limits.go
+++ b/internal/selector/limits.go
@@ -7,6 +7,10 @@
 	"pimentorail.example/pimentorail/internal/ranker"
 )
 
+// minRate is the least rate in requests a second at which a replica is tried, also if it takes
+// none, so that the end of its limit is noticed.
+const minRate = 0.05
+
 // Limit is the number of requests a second that a replica takes from all daemons together.
 type Limit struct {
 	// Rate is in requests a second, zero for no limit.
--- a/internal/selector/limits_test.go
+++ b/internal/selector/limits_test.go
@@ -89,7 +89,7 @@
 	}
 	rate := u.fleet.arrive(c.Replica.ID, time.Since(began))
 	time.Sleep(u.lasting)
-	c.ReportLimit(rate)
+	c.ReportLimit(rate, rate > 0)
 	c.End(selector.Served)
 }
 
@@ -250,16 +250,16 @@
 		time.Sleep(time.Millisecond)
 		first, err := s.Choose(context.Background(), newRequest())
 		is.NoErr(err)
-		is.True(first.ReportLimit(2))
+		is.True(first.ReportLimit(2, true))
 		first.End(selector.Served)
-		is.True(!early.ReportLimit(0))
+		is.True(!early.ReportLimit(0, false))
 		early.End(selector.Served)
 		is.Equal(s.LimitedReplicas(), 1)
 		time.Sleep(10 * time.Second)
 		later, err := s.Choose(context.Background(), newRequest())
 		is.NoErr(err)
 		is.Equal(later.Limit.Rate, 2.0)
-		is.True(later.ReportLimit(0))
+		is.True(later.ReportLimit(0, false))
 		later.End(selector.Served)
 		is.Equal(s.LimitedReplicas(), 0)
 	})
@@ -317,7 +317,7 @@
 		first := &waitingCall{daemon: z.daemons[0]}
 		first.run()
 		is.NoErr(first.err)
-		first.choice.ReportLimit(7.5) // The zone's part is one request in 0.4 s.
+		first.choice.ReportLimit(7.5, true) // The zone's part is one request in 0.4 s.
 		u := &waitingCall{daemon: z.daemons[0]}
 		go u.run()
 		synctest.Wait()
@@ -329,3 +329,32 @@
 		is.True(errors.Is(u.err, selector.ErrNoReplica))
 	})
 }
+
+// TestAReplicaThatTakesNothingIsLeftAlone guards against a limit of zero, or of next to
+// nothing, that is taken for none.
+func TestAReplicaThatTakesNothingIsLeftAlone(t *testing.T) {
+	for _, rate := range []float64{0, 1e-300, 1e-12} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			z := newZone(1, 1, 12, true)
+			defer z.stop()
+			first := &waitingCall{daemon: z.daemons[0]}
+			first.run()
+			is.NoErr(first.err)
+			is.True(first.choice.ReportLimit(rate, true))
+			served := 0
+			for range 100 {
+				u := &waitingCall{daemon: z.daemons[0]}
+				if u.run(); u.err == nil {
+					served++
+				}
+				time.Sleep(time.Second)
+			}
+			is.True(served <= 5)
+			time.Sleep(time.Minute)
+			u := &waitingCall{daemon: z.daemons[0]}
+			u.run()
+			is.NoErr(u.err) // It is tried now and then.
+		})
+	}
+}
