--- a/internal/selector/doc.go
+++ b/internal/selector/doc.go
@@ -5,5 +5,10 @@
 // the same replica. So all requests of a zone to one service are placed by the service's
 // coordinator, a daemon that counts all of them. A daemon whose coordinator does not
 // answer chooses by its own estimates. Correctness never depends on the coordinator's
-// estimates.
+// estimates of load.
+//
+// The coordinator also counts the requests of its zone against the limits that replicas name
+// for all daemons together (limits, shares). A daemon that is not the coordinator in the view
+// of the others has a small part of each limit. Requests that were at crashes of replicas are
+// kept apart from each other (suspects).
 package selector
