--- /dev/null
+++ b/internal/isolator/rows.go
@@ -0,0 +1,195 @@
+package isolator
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"pimentorail.example/pimentorail/internal/storer"
+)
+
+const (
+	// suspectRetention is how long a crash counts, and condemnedRetention how long one does
+	// that condemned a request. Then the request gets another chance.
+	suspectRetention   = time.Minute
+	condemnedRetention = 10 * time.Minute
+	// removalJitter spreads the removal of a row over the daemons; the first removes it.
+	removalJitter = 10 * time.Second
+	maintainEvery = time.Second
+	// writeTimeout bounds one write, writeBackoff is the time between two attempts, and
+	// maxBatch the rows of one write.
+	writeTimeout = time.Second
+	writeBackoff = 200 * time.Millisecond
+	maxBatch     = 50
+)
+
+// Replace implements follower.Sink.
+func (i *Isolator) Replace(rows []storer.Row, _ uint64) {
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	listed := map[string]bool{}
+	for _, r := range rows {
+		listed[r.Name()] = true
+		i.putLocked(r, now)
+	}
+	for name := range i.records {
+		if _, queued := i.unwritten[name]; !queued && !listed[name] {
+			i.forgetLocked(name)
+		}
+	}
+	i.changedLocked()
+}
+
+// Update implements follower.Sink.
+func (i *Isolator) Update(changes []storer.Change, _ uint64) {
+	if len(changes) == 0 {
+		return
+	}
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, c := range changes {
+		if c.Removed {
+			i.forgetLocked(c.Name())
+			continue
+		}
+		i.putLocked(c.Row, now)
+	}
+	i.changedLocked()
+}
+
+// StoreUnavailable implements follower.Sink; what is known stays.
+func (i *Isolator) StoreUnavailable(error) {}
+
+// StoreRecovered implements follower.Sink.
+func (i *Isolator) StoreRecovered() {}
+
+// putLocked adds the record of a row.
+func (i *Isolator) putLocked(r storer.Row, now time.Time) {
+	v, err := decodeRow(r)
+	if err != nil {
+		i.logger.Event("isolator", "row ignored").Err(err).End()
+		return
+	}
+	i.addLocked(r.Name(), v, now)
+}
+
+// addLocked adds or replaces a record. If there are too many, the oldest gives way.
+func (i *Isolator) addLocked(name string, r row, now time.Time) {
+	seenAt := now
+	if old, known := i.records[name]; known {
+		seenAt = old.seenAt
+	} else if len(i.records) >= maxRecords {
+		oldest := ""
+		for n, o := range i.records {
+			if oldest == "" || o.seenAt.Before(i.records[oldest].seenAt) {
+				oldest = n
+			}
+		}
+		i.forgetLocked(oldest)
+	}
+	i.records[name] = record{r, seenAt}
+}
+
+// run writes the queued rows and removes expired ones.
+func (i *Isolator) run() error {
+	maintenance := time.NewTicker(maintainEvery)
+	defer maintenance.Stop()
+	var retry <-chan time.Time
+	for {
+		select {
+		case <-i.wake:
+		case <-retry:
+		case <-maintenance.C:
+			i.expire(time.Now())
+			continue
+		case <-i.tomb.Dying():
+			return nil
+		}
+		if retry = nil; !i.write() {
+			retry = time.After(writeBackoff/2 + rand.N(writeBackoff))
+		}
+	}
+}
+
+// write writes the queued rows. A row holds the same whenever it is written, so that a write
+// in doubt is repeated. It returns false if rows are left.
+func (i *Isolator) write() bool {
+	batch := map[string]row{}
+	i.mu.Lock()
+	for name, r := range i.unwritten {
+		if len(batch) < maxBatch {
+			batch[name] = r
+		}
+	}
+	i.mu.Unlock()
+	var tx storer.Transaction
+	for name, r := range batch {
+		value, err := json.Marshal(r)
+		if err != nil {
+			i.logger.Event("isolator", "row not encoded").Err(err).End()
+			continue
+		}
+		tx.Writes = append(tx.Writes, storer.Write{Key: storer.Prefix(Table) + name, Value: value})
+	}
+	if len(tx.Writes) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(i.tomb.Context(nil), writeTimeout)
+	defer cancel()
+	_, err := i.table.Commit(ctx, tx)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for name, r := range batch {
+		if now, ok := i.unwritten[name]; err == nil && ok && len(now.Suspects) == len(r.Suspects) {
+			delete(i.unwritten, name)
+		}
+	}
+	return len(i.unwritten) == 0
+}
+
+// expire forgets old crashes and removes their rows.
+func (i *Isolator) expire(now time.Time) {
+	var tx storer.Transaction
+	i.mu.Lock()
+	i.judgeLocked(now)
+	for name, r := range i.records {
+		if now.Sub(r.seenAt) < i.retentionLocked(r.row)+rand.N(removalJitter) {
+			continue
+		}
+		i.forgetLocked(name)
+		if len(tx.Writes) < maxBatch {
+			tx.Writes = append(tx.Writes, storer.Write{Key: storer.Prefix(Table) + name, Delete: true})
+		}
+	}
+	i.mu.Unlock()
+	if len(tx.Writes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(i.tomb.Context(nil), writeTimeout)
+	defer cancel()
+	if _, err := i.table.Commit(ctx, tx); err != nil {
+		// Another daemon removes them, or the next start of one.
+		i.logger.Event("isolator", "rows not removed").Int("rows", len(tx.Writes)).Err(err).End()
+	}
+}
+
+// forgetLocked forgets a row.
+func (i *Isolator) forgetLocked(name string) {
+	delete(i.own, i.records[name].Instance)
+	delete(i.records, name)
+	delete(i.unwritten, name)
+	i.changedLocked()
+}
+
+// retentionLocked returns how long a crash is kept.
+func (i *Isolator) retentionLocked(r row) time.Duration {
+	for _, m := range r.Suspects {
+		if i.verdicts[m.Whole].Condemned || i.verdicts[m.Start].Condemned {
+			return condemnedRetention
+		}
+	}
+	return suspectRetention
+}
