--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -7,18 +7,18 @@
 	crashes map[string]*crash
 	// starts are the starts of the marks that have others than the whole.
 	starts map[Fingerprint]Fingerprint
-	// served are the suspects that were served since.
-	served map[Fingerprint]bool
+	// excused are the instances at whose crashes a suspect was before it was served.
+	excused map[Fingerprint][]string
 }
 
 func newEvidence() *evidence {
-	return &evidence{crashes: map[string]*crash{}, starts: map[Fingerprint]Fingerprint{}, served: map[Fingerprint]bool{}}
+	return &evidence{crashes: map[string]*crash{}, starts: map[Fingerprint]Fingerprint{}, excused: map[Fingerprint][]string{}}
 }
 
 // add adds a row that this daemon learned of at a time.
 func (e *evidence) add(r row, at time.Time) {
 	if r.Instance == "" {
-		e.served[r.Served] = true
+		e.excused[r.Served] = append(e.excused[r.Served], r.Excused...)
 		return
 	}
 	c := e.crashes[r.Instance]
@@ -37,13 +37,17 @@
 	}
 }
 
-// list returns the crashes, without the suspects that were served.
+// list returns the crashes, without the suspects that are excused.
 func (e *evidence) list() []crash {
+	for f, instances := range e.excused {
+		for _, instance := range instances {
+			if c := e.crashes[instance]; c != nil {
+				delete(c.suspects, f)
+			}
+		}
+	}
 	list := make([]crash, 0, len(e.crashes))
 	for _, c := range e.crashes {
-		for f := range e.served {
-			delete(c.suspects, f)
-		}
 		list = append(list, *c)
 	}
 	return list
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,9 @@
 	// maxSuspects bounds the requests that one daemon records for one crash, and maxRecords
 	// the rows that are kept in memory.
 	maxSuspects = 64
-	maxRecords  = 2048
+	// maxExcused bounds the crashes that one row excuses.
+	maxExcused = 256
+	maxRecords = 2048
 	// minCleared is the number of crashes from which on it is recorded that a request was
 	// served. Fewer condemn nobody.
 	minCleared = 2
@@ -91,21 +94,28 @@
 }
 
 // Served records that a request got a complete response. If it was at several crashes, all
-// daemons learn that it is not their cause.
+// daemons learn that it is not their cause. Later crashes count anew.
 func (i *Isolator) Served(m Mark) {
 	now := time.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, f := range []Fingerprint{m.Whole, m.Start} {
 		i.recent.add(f, now)
-		name := servedName(f)
-		if _, known := i.records[name]; known {
-			continue
-		}
 		if i.verdicts[f].Crashes >= minCleared {
-			i.putOwnLocked(name, row{Served: f}, now)
+			i.excuseLocked(f, now)
+		}
+	}
+}
+
+// excuseLocked records that a suspect was served after the crashes that are known.
+func (i *Isolator) excuseLocked(f Fingerprint, now time.Time) {
+	r := row{Served: f}
+	for _, o := range i.records {
+		if o.Instance != "" && o.has(f) && len(r.Excused) < maxExcused && !slices.Contains(r.Excused, o.Instance) {
+			r.Excused = append(r.Excused, o.Instance)
 		}
 	}
+	i.putOwnLocked(servedName(f, i.options.Name), r, now)
 }
 
 // BrokeOff records that a replica broke off a request. If the replica's process has ended,
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -149,6 +149,32 @@
 	})
 }
 
+// TestAServedRequestIsJudgedByItsLaterCrashes guards against a request that crashes replicas
+// without end because it was served once: that excuses the crashes before it only.
+func TestAServedRequestIsJudgedByItsLaterCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDeployment()
+		defer d.stop()
+		first, second := d.start(), d.start()
+		for n := range 2 {
+			breakOff(first, fmt.Sprint("early ", n), "request")
+		}
+		time.Sleep(time.Second)
+		second.Served(mark("request"))
+		time.Sleep(time.Second)
+		is.Equal(first.Check(mark("request")), isolator.Verdict{})
+		for n := range 3 {
+			breakOff(first, fmt.Sprint("late ", n), "request")
+			time.Sleep(time.Second)
+		}
+		third := d.start()
+		for _, i := range []*isolator.Isolator{first, second, third} {
+			is.Equal(i.Check(mark("request")), isolator.Verdict{Crashes: 3, Condemned: true})
+		}
+	})
+}
+
 // TestVerdictsExpire guards against a request that is refused forever, and against rows that
 // are never removed.
 func TestVerdictsExpire(t *testing.T) {
--- a/internal/isolator/judge_test.go
+++ b/internal/isolator/judge_test.go
@@ -42,9 +42,6 @@
 			crashOf(0, "a", "b"), crashOf(0.1, "c", "a"), crashOf(0.2, "d"), crashOf(0.3, "e", "a"), crashOf(0.3, "f"), crashOf(0.4, "g"), crashOf(0.4, "h"),
 		}, "", "abcdefgh"},
 		{"one that ends many replicas at once", []isolator.Crash{crashOf(0, "x", "a"), crashOf(0.1, "x"), crashOf(0.2, "x", "b"), crashOf(0.3, "x")}, "x", "ab"},
-		{"a pair that always comes together", []isolator.Crash{
-			crashOf(0, "x", "y"), crashOf(1, "x", "y"), crashOf(2, "x", "y"), crashOf(3, "x", "y"), crashOf(4, "x", "y"), crashOf(5, "x", "y"),
-		}, "", ""},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -60,6 +57,35 @@
 	}
 }
 
+// TestAPairThatAlwaysComesTogether guards against a pair of requests that crash replicas
+// without end because either may be innocent: after six crashes one of them is condemned. If
+// replicas crash without it, it was the other, which explains all crashes.
+func TestAPairThatAlwaysComesTogether(t *testing.T) {
+	is := is.New(t)
+	condemned := func(crashes []isolator.Crash) (names []string) {
+		verdicts := isolator.Judge(crashes)
+		for _, n := range []string{"x", "y"} {
+			if verdicts[mark(n).Whole].Condemned {
+				names = append(names, n)
+			}
+		}
+		return names
+	}
+	var crashes []isolator.Crash
+	for n := range 5 {
+		crashes = append(crashes, crashOf(float64(n), "x", "y"))
+	}
+	is.Equal(len(condemned(crashes)), 0)
+	crashes = append(crashes, crashOf(5, "x", "y"))
+	first := condemned(crashes)
+	is.Equal(len(first), 1)
+	other := map[string]string{"x": "y", "y": "x"}[first[0]]
+	for n := range 3 {
+		crashes = append(crashes, crashOf(float64(6+n), other))
+	}
+	is.Equal(condemned(crashes), []string{other})
+}
+
 // TestAConversationIsCondemnedByItsStart guards against a crashing request that is never known
 // again because its client sends it with more of the conversation each time, and against the
 // start of a request that is condemned although the whole explains all crashes.
--- a/internal/isolator/row.go
+++ b/internal/isolator/row.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,12 +17,23 @@
 const Table = "crashes/all"
 
 // row is the value of a row: the requests that one daemon had at a replica that crashed, or,
-// without an instance, a suspect that was served.
+// without an instance, a suspect that was served after it had been at the crashes of Excused.
 type row struct {
 	Service  string      `json:"service"`
 	Instance string      `json:"instance"`
 	Suspects []Mark      `json:"suspects"`
 	Served   Fingerprint `json:"served"`
+	Excused  []string    `json:"excused"`
+}
+
+// equal reports whether a row has not grown into another. Rows only grow.
+func (r row) equal(o row) bool {
+	return len(r.Suspects) == len(o.Suspects) && len(r.Excused) == len(o.Excused)
+}
+
+// has reports whether a request with a fingerprint was at the crash.
+func (r row) has(f Fingerprint) bool {
+	return slices.ContainsFunc(r.Suspects, func(m Mark) bool { return m.Whole == f || m.Start == f })
 }
 
 // rowName returns the name of the row that a daemon writes for an instance.
@@ -30,8 +42,8 @@
 	return hex.EncodeToString(sum[:12]) + "-" + daemon
 }
 
-// servedName returns the name of the row that says that a suspect was served.
-func servedName(f Fingerprint) string { return "served-" + f.String() }
+// servedName returns the name of the row in which a daemon says that a suspect was served.
+func servedName(f Fingerprint, daemon string) string { return "served-" + f.String() + "-" + daemon }
 
 // record is a row with the time at which this daemon learned of it.
 type record struct {
@@ -44,8 +56,8 @@
 	if err := json.Unmarshal(r.Value, &v); err != nil {
 		return row{}, errors.Wrapf(err, "crash row %q", r.Name())
 	}
-	if len(v.Suspects) > maxSuspects || v.Instance == "" && v.Served == (Fingerprint{}) {
-		return row{}, errors.Errorf("crash row %q has %d suspects, and neither an instance nor a served request", r.Name(), len(v.Suspects))
+	if len(v.Suspects) > maxSuspects || len(v.Excused) > maxExcused || v.Instance == "" && v.Served == (Fingerprint{}) {
+		return row{}, errors.Errorf("crash row %q has %d suspects, %d excused instances, instance %q and served request %s", r.Name(), len(v.Suspects), len(v.Excused), v.Instance, v.Served)
 	}
 	return v, nil
 }
--- a/internal/isolator/rows.go
+++ b/internal/isolator/rows.go
@@ -143,7 +143,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for name, r := range batch {
-		if now, ok := i.unwritten[name]; err == nil && ok && len(now.Suspects) == len(r.Suspects) {
+		if now, ok := i.unwritten[name]; err == nil && ok && now.equal(r) {
 			delete(i.unwritten, name)
 		}
 	}
