--- a/internal/relayer/doc.go
+++ b/internal/relayer/doc.go
@@ -1,7 +1,8 @@
 // Package relayer relays calls of the store through peers while this daemon cannot reach
 // the store itself.
 //
-// The daemons of one availability zone discover each other by member rows. A Relayer
+// The daemons of one availability zone discover each other by member rows; one that joins
+// also tells its peers, which read the rows only every few seconds. A Relayer
 // calls the store directly while it is available. During an outage it sends the call
 // to a peer that still reaches the store. A daemon serves peers only with direct
 // calls, so a call is relayed at most once.
