forwarder,platform,tracker: [feature] lines name the replica's version and the resumed stream

No line told which version a replica has or which stream a request resumes, so the hypotheses of docs/incidents/stream-versions.md could not be told apart: the version in the registry was not read, nor was the header that names the resumed request.

Both are decoded and logged; no logic changes.

--- a/internal/cataloger/route.go
+++ b/internal/cataloger/route.go
@@ -39,6 +39,9 @@
 	Shares  []Share
 	// Retain reports whether turns are persisted.
 	Retain bool
+	// Resumable reports whether a client may resume a stream that broke off, after the last
+	// event that it received.
+	Resumable bool
 }
 
 // Repeatable reports whether a request that may have run on one replica may be retried on
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -55,6 +55,10 @@
 		line := f.logger.Event("forwarder", "tried").Str("id", j.request.ID).Str("replica", c.Replica.ID).Str("service", j.service.Name).
 			Int("candidates", c.Candidates).Int("cached", c.Cached).Int("busy", int(c.Busy)).Int("slowness", int(100*c.Slowness)).
 			Dur("age", c.Age).Str("desk", c.CoordinatorName).Float("limit", c.Limit.Rate).Dur("waited", c.Wait).Int("attempt", j.attempts).Str("result", res.String())
+		line.Str("replica-version", c.Replica.Version)
+		if j.request.Resumes != "" {
+			line.Str("resumes", j.request.Resumes).Str("last-event", j.request.LastEventID)
+		}
 		if res == ambiguous || res == truncated {
 			line.Str("mark", j.mark.String())
 		}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -43,6 +43,9 @@
 	OutputHint int
 	// LastEventID is the id of the last event that the client has received.
 	LastEventID string
+	// Resumes is the id of the request that received the first event of the stream which
+	// this request resumes.
+	Resumes string
 }
 
 // mark returns the mark of what the client sent.
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -77,7 +77,7 @@
 func (g *registrySink) logChanges(changes []tracker.Change, version uint64) {
 	for _, c := range changes {
 		g.logger.Event("server", "replica "+c.Kind).Str("replica", c.Replica.ID).Str("service", c.Replica.Service).
-			Str("address", c.Replica.Address).Str("zone", c.Replica.Zone).Bool("draining", c.Replica.Draining).
+			Str("address", c.Replica.Address).Str("zone", c.Replica.Zone).Str("version", c.Replica.Version).Bool("draining", c.Replica.Draining).
 			Uint("list-version", version).End()
 	}
 }
--- a/internal/tracker/replica.go
+++ b/internal/tracker/replica.go
@@ -16,6 +16,8 @@
 	Slots     int
 	// Sequence increases with each row that an instance writes.
 	Sequence int64
+	// Version is the version of the software that the instance runs, empty if unknown.
+	Version string
 	// Draining is set if the replica receives no new requests.
 	Draining bool
 
