forwarder: [test] a stream goes on at another version of its replica (fails)

The test begins streams at two versions, takes the forwarder's memory away as a restart of all daemons does, and resumes them: each must go on at the replica of its version. The second test removes that version: the stream must be refused as not run and without Retry-After.

--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -73,6 +73,7 @@
 	catalog   *cataloger.Keeper
 	tracker   *tracker.Tracker
 	server    *httptest.Server
+	replicas  []*tracker.Replica
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -94,7 +95,19 @@
 		t.Cleanup(s.Close)
 		list = append(list, &tracker.Replica{ID: fmt.Sprint(i), Service: "s", Address: strings.TrimPrefix(s.URL, "http://"), Slots: 4})
 	}
+	f.replicas = list
 	f.tracker.Replace(list, time.Now())
+	f.startForwarder(ctx)
+	f.server = httptest.NewServer(http.HandlerFunc(f.serve))
+	t.Cleanup(func() {
+		f.server.Close()
+		cancel()
+	})
+	return f
+}
+
+// startForwarder starts a forwarder with empty memory, in place of an earlier one.
+func (f *fixture) startForwarder(ctx context.Context) {
 	turns := archivist.New(f.store, archivist.Options{RowBytes: 1000, CacheBytes: 10_000})
 	lines := logger.Start(ctx, io.Discard)
 	f.forwarder = forwarder.New(forwarder.Dependencies{
@@ -102,12 +115,6 @@
 		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
 		Scope:    tally.NoopScope, Codec: testCodec{},
 	}, forwarder.Options{StoreTimeout: 100 * time.Millisecond, RetryAfter: time.Second, OutageRetryAfter: time.Second})
-	f.server = httptest.NewServer(http.HandlerFunc(f.serve))
-	t.Cleanup(func() {
-		f.server.Close()
-		cancel()
-	})
-	return f
 }
 
 // applyRoutes configures routes of all kinds.
@@ -117,6 +124,7 @@
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: cataloger.Safe, MaxRuns: 2, Shares: share, Timeout: 20 * time.Second},
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: cataloger.Unsafe, MaxRuns: 2, Shares: share, Timeout: 20 * time.Second},
 		{Name: "turn", Host: "h", Prefix: "/turn/", Kind: cataloger.Streaming, MaxRuns: 1, Retain: true, Shares: share, Timeout: 20 * time.Second},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: cataloger.Streaming, MaxRuns: 1, Resumable: true, Shares: share, Timeout: 20 * time.Second},
 		{Name: "gone", Host: "h", Prefix: "/gone/", Kind: cataloger.Safe, Shares: []cataloger.Share{{Service: "none", Weight: 1}}},
 	}, []*cataloger.Service{{Name: "s", EventTokens: 10, Model: true}}, cataloger.Limits{}))
 	return f
@@ -141,7 +149,7 @@
 	q := &forwarder.Request{
 		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Hostname: "h", Path: r.URL.Path,
 		Header: r.Header, Body: body, Arrived: time.Now(), Timeout: 10 * time.Second, Parent: r.Header.Get("Parent"), MaxTokens: 20,
-		Parts: []ranker.Part{{ID: "p", Tokens: 5}},
+		Parts: []ranker.Part{{ID: "p", Tokens: 5}}, LastEventID: r.Header.Get("Last-Event"), Resumes: r.Header.Get("Resumes"), Caller: r.Header.Get("Caller"),
 	}
 	if p := r.Header.Get("Patience"); p != "" {
 		q.Timeout, _ = time.ParseDuration(p)
