versioner,forwarder,selector: [fix] a resumed stream goes on only at the version that began it

Change: when the first event of a resumable stream arrives, its service and version are written to a row of the store, chosen by the hash of caller, host and request id, in a table of fixed size. A resumption reads the row and is placed only at that version of that service, also by coordinators. Without a row, without a replica of the version, or if the route left the service, it is refused at once as not run, without Retry-After, and the client begins anew. An event never waits for the write, because a stream without a row is refused, not guessed.

--- a/internal/cataloger/route.go
+++ b/internal/cataloger/route.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,6 +49,11 @@
 // another.
 func (r *Route) Repeatable() bool { return r.Kind == Safe }
 
+// LeadsTo reports whether the route leads requests to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Service returns the name of the service for a request, chosen by weight. The same request
 // id always gets the same service.
 func (r *Route) Service(id string) string {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,6 +12,7 @@
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/selector"
+	"pimentorail.example/pimentorail/internal/tracker"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
@@ -36,7 +37,7 @@
 			return fault
 		}
 		c, err := f.placements.Choose(ctx, selector.Request{
-			Service: selector.Service{Name: j.service.Name, CacheTokens: j.service.CacheTokens}, Work: j.work, Tried: j.tried, Deadline: j.deadline, Suspicion: f.suspicion(j),
+			Service: selector.Service{Name: j.service.Name, CacheTokens: j.service.CacheTokens}, Work: j.work, Tried: j.tried, Deadline: j.deadline, Suspicion: f.suspicion(j), Version: j.originVersion,
 		})
 		var busy *selector.BusyError
 		if errors.As(err, &busy) && j.possibleRuns == 0 {
@@ -93,6 +94,9 @@
 		cause = errors.Errorf("no replica of service %q is available", j.service.Name)
 	}
 	if j.possibleRuns == 0 {
+		if fault := f.refuseWithoutOrigin(j); fault != nil {
+			return fault
+		}
 		return classifier.New(classifier.TargetAway, classifier.RanNo, "%v", cause).After(f.retryAfter())
 	}
 	if code == classifier.TargetAway {
@@ -148,7 +152,7 @@
 		f.discard(e)
 		return refused
 	case isStream(e.Response) && j.route.Kind == cataloger.Streaming:
-		return f.forwardStream(ctx, w, j, e)
+		return f.forwardStream(ctx, w, j, c.Replica, e)
 	}
 	return f.forwardBody(ctx, w, j, e)
 }
@@ -227,7 +231,7 @@
 
 // forwardStream forwards events as they arrive and ends the client's stream only after
 // the turn is persisted.
-func (f *Forwarder) forwardStream(ctx context.Context, w http.ResponseWriter, j *job, e *connector.Exchange) result {
+func (f *Forwarder) forwardStream(ctx context.Context, w http.ResponseWriter, j *job, r *tracker.Replica, e *connector.Exchange) result {
 	// With a Content-Length the client would see the end of the response before the turn is
 	// persisted; chunked encoding marks the end explicitly.
 	e.Response.Header.Del("Content-Length")
@@ -247,6 +251,7 @@
 		}
 		if !j.responseStarted {
 			j.firstAfter = time.Since(j.request.Arrived)
+			f.recordOrigin(j, r)
 			f.writeHead(w, j, e.Response)
 		}
 		j.turn.addEvent(ev, j.service.EventTokens)
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -28,6 +28,7 @@
 	"pimentorail.example/pimentorail/internal/seeder"
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/versioner"
 )
 
 func TestMain(m *testing.M) {
@@ -113,6 +114,7 @@
 	f.forwarder = forwarder.New(forwarder.Dependencies{
 		Catalog: f.catalog, Placements: selector.Start(ctx, f.tracker, nil, lines, selector.Options{}), Programs: granter.Start(ctx, turns, budgeter.Start(ctx, f.store, "me"), nil, lines, granter.Options{}), Logger: lines,
 		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
+		Versions: versioner.Start(ctx, f.store),
 		Scope:    tally.NoopScope, Codec: testCodec{},
 	}, forwarder.Options{StoreTimeout: 100 * time.Millisecond, RetryAfter: time.Second, OutageRetryAfter: time.Second})
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"pimentorail.example/pimentorail/internal/prioritizer"
 	"pimentorail.example/pimentorail/internal/ranker"
 	"pimentorail.example/pimentorail/internal/selector"
+	"pimentorail.example/pimentorail/internal/versioner"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
@@ -53,6 +54,7 @@
 	Placements *selector.Selector
 	Programs   *granter.Granter
 	Isolator   *isolator.Isolator
+	Versions   *versioner.Versioner
 	Logger     *logger.Logger
 	Scope      tally.Scope
 	Codec      Codec
@@ -65,6 +67,7 @@
 	placements *selector.Selector
 	programs   *granter.Granter
 	isolator   *isolator.Isolator
+	versions   *versioner.Versioner
 	logger     *logger.Logger
 	codec      Codec
 	conns      *connector.Connector
@@ -77,7 +80,7 @@
 // New returns a forwarder without connections.
 func New(d Dependencies, o Options) *Forwarder {
 	return &Forwarder{
-		options: o, catalog: d.Catalog, placements: d.Placements, programs: d.Programs, isolator: d.Isolator,
+		options: o, catalog: d.Catalog, placements: d.Placements, programs: d.Programs, isolator: d.Isolator, versions: d.Versions,
 		logger: d.Logger, codec: d.Codec, conns: connector.New(), meter: newMeter(d.Scope),
 	}
 }
@@ -105,6 +108,9 @@
 	turn    *turn
 	// mark identifies what the client sent.
 	mark isolator.Mark
+	// originVersion is the version to which the request is restricted because it resumes a
+	// stream that began there, empty for any.
+	originVersion string
 	// deadline is the earlier of the client's and the route's deadline.
 	deadline time.Time
 	work     ranker.Work
@@ -141,6 +147,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	if fault = f.resolveOrigin(ctx, j); fault != nil {
+		f.Refuse(w, q, fault)
+		return
+	}
 	j.turn, fault = f.openTurn(ctx, j)
 	if fault != nil {
 		f.Refuse(w, q, fault)
--- a/internal/forwarder/meter.go
+++ b/internal/forwarder/meter.go
@@ -44,4 +44,9 @@
 	m.scope.Tagged(map[string]string{"code": strconv.Itoa(int(code))}).Counter("faults").Inc(1)
 }
 
+// countResumption counts a request that resumes a stream, and whether it was refused.
+func (m *meter) countResumption(admitted bool) {
+	m.scope.Tagged(map[string]string{"admitted": strconv.FormatBool(admitted)}).Counter("resumptions").Inc(1)
+}
+
 func (m *meter) countAttempt(r result) { m.attempts[r].Inc(1) }
--- /dev/null
+++ b/internal/forwarder/resumption.go
@@ -0,0 +1,67 @@
+package forwarder
+
+import (
+	"context"
+
+	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/versioner"
+	"pimentorail.example/pimentorail/pkg/classifier"
+)
+
+// resumes reports whether the request resumes a stream.
+func (j *job) resumes() bool {
+	q := j.request
+	return j.route.Kind == cataloger.Streaming && j.route.Resumable && (q.LastEventID != "" || q.Resumes != "")
+}
+
+// stream returns the stream that a request of the same caller began.
+func (q *Request) stream(requestID string) versioner.Stream {
+	return versioner.Stream{Caller: q.Caller, Hostname: q.Hostname, RequestID: requestID}
+}
+
+// resolveOrigin restricts a request that resumes a stream to the service and the version at
+// which the stream began. It returns a fault if these are unknown or serve no longer.
+func (f *Forwarder) resolveOrigin(ctx context.Context, j *job) *classifier.Fault {
+	if !j.resumes() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.options.StoreTimeout)
+	defer cancel()
+	o, found, err := f.versions.Find(ctx, j.request.stream(j.request.Resumes))
+	if err != nil {
+		return classifier.New(classifier.StoreAway, classifier.RanNo, "find where the stream began: %v", err).After(withJitter(f.options.OutageRetryAfter))
+	}
+	fault := f.restrictToOrigin(j, o, found)
+	f.meter.countResumption(fault == nil)
+	return fault
+}
+
+func (f *Forwarder) restrictToOrigin(j *job, o versioner.Origin, found bool) *classifier.Fault {
+	if !found {
+		return classifier.New(classifier.CannotResume, classifier.RanNo, "it is not recorded where the stream of request %q began", j.request.Resumes)
+	}
+	s := f.catalog.Current().Service(o.Service)
+	if s == nil || !j.route.LeadsTo(o.Service) {
+		return classifier.New(classifier.CannotResume, classifier.RanNo, "the stream of request %q began at service %q, to which route %q does not lead now", j.request.Resumes, o.Service, j.route.Name)
+	}
+	j.service, j.originVersion = s, o.Version
+	return f.refuseWithoutOrigin(j)
+}
+
+// refuseWithoutOrigin returns a fault if no replica of the version at which the stream began
+// is left. The client is not asked to come back, since that version does not.
+func (f *Forwarder) refuseWithoutOrigin(j *job) *classifier.Fault {
+	s, v := j.service.Name, j.originVersion
+	if v == "" || f.placements.Serves(s, v) || !f.placements.Serves(s, "") {
+		return nil
+	}
+	return classifier.New(classifier.CannotResume, classifier.RanNo, "no replica of service %q has version %q, at which the stream of request %q began", s, v, j.request.Resumes)
+}
+
+// recordOrigin records where a stream begins, before its first event is forwarded.
+func (f *Forwarder) recordOrigin(j *job, r *tracker.Replica) {
+	if j.route.Resumable && !j.resumes() && r.Version != "" {
+		f.versions.Record(j.request.stream(j.request.ID), versioner.Origin{Service: r.Service, Version: r.Version})
+	}
+}
--- a/internal/forwarder/resumption_test.go
+++ b/internal/forwarder/resumption_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 
+	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/emulator"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
@@ -103,3 +105,72 @@
 	}
 	is.Equal(len(f.received()), arrived)
 }
+
+// A stream that nothing recorded went on at any version: one that an earlier daemon began
+// while the store was away, or one that the client's request does not name.
+func TestAStreamOfUnknownVersionIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := newVersionedFixture(t, "v1", "v2")
+	for stream := range f.beginStreams(1) {
+		time.Sleep(recordTime)
+		arrived := len(f.received())
+		for _, r := range []response{
+			f.resume("nobody's"), f.resume(stream, "Caller", "another"), f.send("POST", "/stream/", "x", "Last-Event", "1"),
+		} {
+			is.Equal(r.status, http.StatusServiceUnavailable)
+			is.True(strings.Contains(r.body, `"code":4007`))
+			is.Equal(r.header.Get("Retry-After"), "")
+		}
+		f.store.SetFaults(emulator.StoreFaults{Down: true})
+		r := f.resume(stream)
+		is.Equal(r.status, http.StatusServiceUnavailable)
+		is.True(strings.Contains(r.body, `"code":3001`))
+		is.True(r.header.Get("Retry-After") != "") // It can be resumed when the store is back.
+		is.Equal(len(f.received()), arrived)
+	}
+}
+
+// A stream that was resumed twice went on at the version of the second attempt's replica.
+func TestAStreamResumesAgain(t *testing.T) {
+	is := is.New(t)
+	f := newVersionedFixture(t, "v1", "v2")
+	for stream, replica := range f.beginStreams(4) {
+		time.Sleep(recordTime)
+		for range 3 {
+			f.resume(stream)
+			is.Equal(f.lastArrival().replica, replica)
+		}
+	}
+}
+
+// A stream of a route that leads to several services went on at another service than its own,
+// or at a service to which the route no longer leads.
+func TestAStreamResumesAtItsService(t *testing.T) {
+	is := is.New(t)
+	f := newVersionedFixture(t, "v1", "v1")
+	other := *f.replicas[1]
+	other.Service, other.Version, other.StartedMS = "other", "v1", time.Now().UnixMilli()+1
+	f.tracker.Update([]tracker.Row{{ID: other.ID, Replica: &other}}, time.Now())
+	f.routeStreams(2, cataloger.Share{Service: "s", Weight: 1}, cataloger.Share{Service: "other", Weight: 1})
+	began := f.beginStreams(12)
+	time.Sleep(recordTime)
+	for stream, replica := range began {
+		f.resume(stream)
+		is.Equal(f.lastArrival().replica, replica)
+	}
+	f.routeStreams(3, cataloger.Share{Service: "s", Weight: 1}, cataloger.Share{Service: "other"})
+	for stream, replica := range began {
+		r := f.resume(stream)
+		if replica == 1 {
+			is.Equal(r.status, http.StatusServiceUnavailable)
+		} else {
+			is.Equal(f.lastArrival().replica, replica)
+		}
+	}
+}
+
+// routeStreams applies a configuration in which the route of streams leads to other services.
+func (f *fixture) routeStreams(version uint64, shares ...cataloger.Share) {
+	r := &cataloger.Route{Name: "stream", Host: "h", Prefix: "/stream/", Kind: cataloger.Streaming, MaxRuns: 1, Resumable: true, Shares: shares, Timeout: 20 * time.Second}
+	f.catalog.Apply(cataloger.New(version, []*cataloger.Route{r}, []*cataloger.Service{{Name: "s"}, {Name: "other"}}, cataloger.Limits{}))
+}
--- a/internal/selector/coordinator.go
+++ b/internal/selector/coordinator.go
@@ -33,6 +33,8 @@
 	// Missed is the address of the coordinator in whose place this one is asked, empty for
 	// none.
 	Missed string
+	// Version excludes the replicas whose software has another version, unless it is empty.
+	Version string
 }
 
 // demand returns what the request asks of the replicas.
@@ -41,7 +43,7 @@
 	for _, instance := range q.Tried {
 		tried[instance] = true
 	}
-	return demand{service: q.Service, work: q.Work, tried: tried, remaining: q.Lasts, suspicion: q.Suspicion}
+	return demand{service: q.Service, work: q.Work, tried: tried, remaining: q.Lasts, suspicion: q.Suspicion, version: q.Version}
 }
 
 // PlaceReply answers a PlaceRequest.
--- a/internal/selector/fixture_test.go
+++ b/internal/selector/fixture_test.go
@@ -21,6 +21,9 @@
 	zonesOfDeployment = 3
 )
 
+// versionOf returns the version of a replica's software by its number.
+func versionOf(replica int) string { return fmt.Sprintf("v%d", replica%2) }
+
 // zone is a set of daemons that call each other in memory and share the same replicas.
 type zone struct {
 	daemons []*daemon
@@ -55,7 +58,7 @@
 		t := tracker.New(tracker.Options{})
 		var list []*tracker.Replica
 		for n := range replicas {
-			list = append(list, &tracker.Replica{ID: fmt.Sprintf("r%d", n), Service: service, Address: fmt.Sprintf("r%d", n), Zone: "z", Slots: slots, StartedMS: 1})
+			list = append(list, &tracker.Replica{ID: fmt.Sprintf("r%d", n), Service: service, Address: fmt.Sprintf("r%d", n), Zone: "z", Slots: slots, StartedMS: 1, Version: versionOf(n)})
 		}
 		t.Replace(list, time.Now())
 		d := &daemon{zone: z, address: fmt.Sprintf("d%d", i)}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -107,6 +108,12 @@
 	}
 }
 
+// Serves reports whether a service has a usable replica of a version, or of any version if
+// that is empty.
+func (s *Selector) Serves(service, version string) bool {
+	return slices.ContainsFunc(s.views.tracker.Usable(service), func(r *tracker.Replica) bool { return version == "" || r.Version == version })
+}
+
 // Request is a request that needs a replica.
 type Request struct {
 	Service Service
@@ -117,11 +124,13 @@
 	Deadline time.Time
 	// Suspicion is what is known against the request.
 	Suspicion Suspicion
+	// Version excludes the replicas whose software has another version, unless it is empty.
+	Version string
 }
 
 // demand returns what the request asks of the replicas.
 func (q *Request) demand() demand {
-	return demand{service: q.Service, work: q.Work, tried: q.Tried, remaining: time.Until(q.Deadline), suspicion: q.Suspicion}
+	return demand{service: q.Service, work: q.Work, tried: q.Tried, remaining: time.Until(q.Deadline), suspicion: q.Suspicion, version: q.Version}
 }
 
 // Choose chooses the best replica that was not tried, at the service's coordinator or,
@@ -204,7 +213,7 @@
 // askCoordinator lets the coordinator choose. It returns nil if another coordinator or this
 // daemon has to choose, and a BusyError if the coordinator has no room at any replica.
 func (s *Selector) askCoordinator(ctx context.Context, coordinator assigner.Peer, q Request) (*Choice, error) {
-	p := PlaceRequest{Service: q.Service, Work: q.Work, Lasts: time.Until(q.Deadline), Suspicion: q.Suspicion}
+	p := PlaceRequest{Service: q.Service, Work: q.Work, Lasts: time.Until(q.Deadline), Suspicion: q.Suspicion, Version: q.Version}
 	if s.views.limits.count() > 0 {
 		p.Missed = s.coordinators.Passed(q.Service.Name)
 	}
@@ -248,7 +257,8 @@
 		s.views.limits.learn(r.Seat.Instance, r.Seat.Limit, time.Now())
 	}
 	if c.Replica = s.views.begin(p.demand(), r.Seat.Instance); c.Replica == nil {
-		// The replica is usable at the coordinator, but not yet or no longer here.
+		// The replica is usable at the coordinator, but not yet or no longer here, or the
+		// coordinator is an older daemon that does not know of versions.
 		s.reporter.enqueue(coordinator, Report{ID: p.ID, Ended: true, Outcome: Unknown, Leaving: s.views.tracker.IsLeaving(r.Seat.Instance)})
 		return nil, nil
 	}
--- a/internal/selector/views.go
+++ b/internal/selector/views.go
@@ -54,9 +54,15 @@
 	tried     map[string]bool
 	remaining time.Duration
 	suspicion Suspicion
+	version   string
 }
 
-// choose chooses the best replica that was not tried, and counts the request as in flight
+// admits reports whether the request may be sent to a replica.
+func (q *demand) admits(r *tracker.Replica) bool {
+	return !q.tried[r.Instance()] && (q.version == "" || q.version == r.Version)
+}
+
+// choose chooses the best replica that the request may be sent to, and counts the request as in flight
 // there and against its limit. It returns ErrNoReplica or a BusyError if there is none.
 func (s *views) choose(q demand, by scope) (Placement, *tracker.Replica, error) {
 	v, w := q.service, q.work
@@ -98,12 +104,12 @@
 	return placement, candidates[i], nil
 }
 
-// candidates returns the replicas that were not tried, with their views.
+// candidates returns the replicas that the request may be sent to, with their views.
 func (s *views) candidates(q demand, usable []*tracker.Replica, by scope, now time.Duration) ([]*ranker.View, []*tracker.Replica) {
 	list := make([]*ranker.View, 0, len(usable))
 	replicas := make([]*tracker.Replica, 0, len(usable))
 	for _, r := range usable {
-		if q.tried[r.Instance()] {
+		if !q.admits(r) {
 			continue
 		}
 		view := s.view(r, q.service, now)
@@ -136,7 +142,7 @@
 func (s *views) begin(q demand, instance string) *tracker.Replica {
 	v, w := q.service, q.work
 	for _, r := range s.tracker.Usable(v.Name) {
-		if r.Instance() == instance {
+		if r.Instance() == instance && q.admits(r) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			now := s.now()
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -28,6 +28,7 @@
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/versioner"
 )
 
 const (
@@ -98,6 +99,7 @@
 	programs     *granter.Granter
 	placements   *selector.Selector
 	isolator     *isolator.Isolator
+	versions     *versioner.Versioner
 	forwarder    *forwarder.Forwarder
 	stopping     atomic.Bool
 	clientServer *http.Server
@@ -148,8 +150,9 @@
 	d.relayer.Register(granter.ServiceName, d.programs.Service())
 	d.relayer.Register(selector.ServiceName, d.placements.Coordinator())
 	d.isolator = isolator.Start(ctx, d.relayer, d.logger, isolator.Options{Name: o.Name, Crashed: connector.Refused})
+	d.versions = versioner.Start(ctx, d.relayer)
 	d.forwarder = forwarder.New(forwarder.Dependencies{
-		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator,
+		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator, Versions: d.versions,
 		Logger: d.logger, Scope: d.metrics.Scope(), Codec: p.Codec,
 	}, forwarder.Options{
 		StoreTimeout: storeTimeout, RetryAfter: retryAfter, OutageRetryAfter: outageRetryAfter, Daemons: d.estimateDaemons,
@@ -298,6 +301,7 @@
 	b := d.budgets.Counts()
 	relayed, served := d.relayer.Counts()
 	asked, missed, opened := d.programs.Counts()
+	recorded, dropped := d.versions.Counts()
 	coordinatorsAsked, fellBack, placed := d.placements.Counts()
 	d.logger.Event("server", "counts").Int("active", d.forwarder.Active()).
 		Int("store-reads", int(s.Reads)).Int("store-commits", int(s.Commits)).Int("store-lists", int(s.Lists)).
@@ -306,6 +310,7 @@
 		Int("budget-writes", int(b.Writes)).Int("budget-conflicts", int(b.Conflicts)).Int("budget-doubts", int(b.Ambiguous)).Int("budget-unsettled", int(b.Unsettled)).
 		Int("homes-asked", int(asked)).Int("homes-missed", int(missed)).Int("opened-for-peers", int(opened)).
 		Int("desks-asked", int(coordinatorsAsked)).Int("desks-missed", int(fellBack)).Int("seated-for-peers", int(placed)).
+		Int("streams-recorded", int(recorded)).Int("streams-unrecorded", int(dropped)).
 		Int("relayed", int(relayed)).Int("relays-served", int(served)).
 		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).
 		Int("lines-dropped", int(d.logger.Dropped())).End()
--- a/pkg/classifier/code.go
+++ b/pkg/classifier/code.go
@@ -44,6 +44,7 @@
 	TargetTimeout    Code = 4004
 	OutcomeUnknown   Code = 4005
 	CrashesTarget    Code = 4006
+	CannotResume     Code = 4007
 	ConfigConflict   Code = 5001
 	ConfigInvalid    Code = 5002
 	ConfigNotInForce Code = 5003
@@ -90,6 +91,7 @@
 	TargetTimeout:    {"target-timeout", http.StatusGatewayTimeout, "The target did not answer in time."},
 	OutcomeUnknown:   {"outcome-unknown", http.StatusGatewayTimeout, "The call may have run; it is not run again. Ask for the call later."},
 	CrashesTarget:    {"crashes-target", http.StatusBadGateway, "Replicas ended while they ran the same request before; it is not sent again."},
+	CannotResume:     {"cannot-resume", http.StatusServiceUnavailable, "The stream can't be resumed where it began; begin the request anew."},
 	ConfigConflict:   {"config-conflict", http.StatusConflict, "Another operator's change was accepted first."},
 	ConfigInvalid:    {"config-invalid", http.StatusUnprocessableEntity, "The declarations are invalid; each fault is listed."},
 	ConfigNotInForce: {"config-not-in-force", http.StatusGatewayTimeout, "The change is accepted, but some daemons lag."},
