tunneler,connector: [fix] a daemon whose links to replicas are cut reaches them through peers

Cause: a daemon had one way to a replica, its own link, and went on taking requests without it, though its peers reached the replicas and it reached its peers.

Change: package tunneler opens a connection to a replica through a peer, which dials it and copies bytes; the daemon keeps all of its duties, so what was sent is known as on a direct connection. Package connector tries a peer when a dial is refused or takes 80 ms, and checks the link of a replica that is silent for 0.25 s while a request waits. Only a peer that reaches the replica shows that the link is cut; two such links, with none that works, stand for all. Each link returns by its own success, probed every 0.4 s.

--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -1,15 +1,23 @@
 package connector
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 )
 
+// Dialer opens a connection.
+type Dialer func(ctx context.Context) (net.Conn, error)
+
 // Call is one request to one replica.
 type Call struct {
 	// Instance identifies the replica's instance, and Address is its host and port.
 	Instance string
 	Address  string
+	// Detour opens a connection to the replica through a peer, for a daemon whose own link to
+	// the replica is cut; nil for none.
+	Detour Dialer
 	// Limit is the maximum number of connections from this process to the instance, zero
 	// for no limit.
 	Limit int
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,6 +18,10 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// detoured is set if the connection leads through a peer.
+	detoured bool
+	// heardAt is set to the time, in Unix nanoseconds, at which something is received.
+	heardAt *atomic.Int64
 	// inHead is set while the head of a response is read, and headLeft is the number of
 	// bytes that may still be read for it. A replica in trouble may send bytes without end.
 	inHead   bool
@@ -34,17 +39,28 @@
 
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
-	if !c.inHead {
-		return c.Conn.Read(p)
+	if c.inHead {
+		if c.headLeft == 0 {
+			return 0, errHeadTooLong
+		}
+		p = p[:min(len(p), c.headLeft)]
 	}
-	if c.headLeft == 0 {
-		return 0, errHeadTooLong
+	n, err := c.Conn.Read(p)
+	if c.inHead {
+		c.headLeft -= n
+	}
+	if n > 0 && !c.detoured {
+		c.heardAt.Store(time.Now().UnixNano())
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
-	c.headLeft -= n
 	return n, err
 }
 
+// reusable reports whether the way of the connection may be used for further requests.
+func (c *conn) reusable() bool {
+	r, ok := c.Conn.(interface{ Reusable() bool })
+	return !ok || r.Reusable()
+}
+
 // healthy reports whether an idle connection is still open and has no unread bytes.
 func (c *conn) healthy() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"bufio"
 	"context"
 	"math"
 	"net"
@@ -43,28 +42,31 @@
 // dials, and responses to other requests.
 type Counts struct {
 	Dialed, Reused, Failed, Foreign int64
+	// Detoured is the number of connections that were opened through peers.
+	Detoured int64
 }
 
 // Connector opens connections to replicas and pools the idle ones.
 type Connector struct {
 	dialer net.Dialer
+	paths  *paths
 
 	mu    sync.Mutex
 	pools map[string]*pool
 
-	dialed, reused, failed, foreign atomic.Int64
+	dialed, reused, failed, foreign, detoured atomic.Int64
 }
 
 // New returns a connector without connections.
 func New() *Connector {
-	c := &Connector{pools: map[string]*pool{}}
+	c := &Connector{pools: map[string]*pool{}, paths: newPaths()}
 	c.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: UserTimeoutControl(userTimeout)}
 	return c
 }
 
 // Counts returns the current counters.
 func (c *Connector) Counts() Counts {
-	return Counts{c.dialed.Load(), c.reused.Load(), c.failed.Load(), c.foreign.Load()}
+	return Counts{c.dialed.Load(), c.reused.Load(), c.failed.Load(), c.foreign.Load(), c.detoured.Load()}
 }
 
 // Close closes the idle connections.
@@ -85,6 +87,7 @@
 func (c *Connector) EvictIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.paths.evict(now)
 	for instance, p := range c.pools {
 		kept := p.idle[:0]
 		for _, x := range p.idle {
@@ -109,14 +112,11 @@
 	if q.Fresh {
 		maxIdle = maxFreshIdle
 	}
+	detoured := q.Detour != nil && c.paths.cut(q.Instance, now)
 	c.mu.Lock()
-	p := c.pools[q.Instance]
-	if p == nil {
-		p = &pool{}
-		c.pools[q.Instance] = p
-	}
+	p := c.pool(q.Instance)
 	p.lastUsed = now
-	x, stale := p.take(now, maxIdle)
+	x, stale := p.take(now, maxIdle, detoured)
 	p.open -= len(stale)
 	full := x == nil && q.Limit > 0 && p.open >= q.Limit
 	if x == nil && !full {
@@ -131,6 +131,9 @@
 		return nil, ErrConnectionLimit
 	case x != nil:
 		c.reused.Add(1)
+		if x.detoured && c.paths.probe(q.Instance, now) {
+			go (&probe{connector: c, call: q}).run()
+		}
 		return x, nil
 	}
 	x, err := c.dial(ctx, q)
@@ -138,21 +141,36 @@
 		c.uncount(q.Instance)
 		return nil, err
 	}
+	x.heardAt = &p.heardAt
 	return x, nil
 }
 
-func (c *Connector) dial(ctx context.Context, q *Call) (*conn, error) {
-	c.dialed.Add(1)
-	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
-	defer cancel()
-	n, err := c.dialer.DialContext(ctx, "tcp", q.Address)
-	if err != nil {
-		c.failed.Add(1)
-		return nil, err
+// pool returns the pool of an instance, and creates it on first use. The caller holds the
+// lock.
+func (c *Connector) pool(instance string) *pool {
+	p := c.pools[instance]
+	if p == nil {
+		p = &pool{}
+		c.pools[instance] = p
 	}
-	x := &conn{Conn: n, idleTimeout: defaultIdleTimeout}
-	x.reader = bufio.NewReaderSize(x, readBufferBytes)
-	return x, nil
+	return p
+}
+
+// CutOff returns since when this daemon reaches no replica while its peers do, and false if
+// that is not so.
+func (c *Connector) CutOff() (time.Time, bool) { return c.paths.allCut() }
+
+// IsCut reports whether the link to a replica counts as cut: peers reach the replica, and this
+// daemon does not.
+func (c *Connector) IsCut(instance string) bool { return c.paths.cut(instance, time.Now()) }
+
+// DialDirectly opens a connection to a replica for a peer.
+func (c *Connector) DialDirectly(ctx context.Context, instance, address string) (net.Conn, error) {
+	n, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		c.paths.reached(instance, time.Now())
+	}
+	return n, err
 }
 
 // Refused reports whether the VM at an address answers and no process listens there. It
@@ -184,6 +202,7 @@
 	}
 	c.mu.Lock()
 	p := c.pools[instance]
+	reusable = reusable && x.reusable() && x.detoured == c.paths.cut(instance, time.Now())
 	if reusable && p != nil && len(p.idle) < maxIdle {
 		x.lastUsed = time.Now()
 		p.idle = append(p.idle, x)
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -57,7 +57,9 @@
 	}
 	sent, err := e.send(q)
 	if err == nil {
+		stopCheck := e.checkIfSilent(q)
 		err = e.receive(q)
+		stopCheck()
 	}
 	if err != nil {
 		c.failed.Add(1)
@@ -67,6 +69,25 @@
 	return e, nil
 }
 
+// Via returns the name of the peer that the connection leads through, and what the peer calls
+// it; both are empty for a direct connection.
+func (e *Exchange) Via() (peer, name string) {
+	if v, ok := e.conn.Conn.(interface{ Via() (peer, name string) }); ok {
+		return v.Via()
+	}
+	return "", ""
+}
+
+// checkIfSilent checks the link to the replica if it stays silent, until the returned function
+// is called.
+func (e *Exchange) checkIfSilent(q *Call) (stop func()) {
+	if q.Detour == nil || e.conn.detoured {
+		return func() {}
+	}
+	timer := time.AfterFunc(silenceBeforeCheck, (&linkCheck{connector: e.connector, call: q}).run)
+	return func() { timer.Stop() }
+}
+
 func (e *Exchange) interrupt() { _ = e.conn.SetDeadline(pastDeadline) }
 
 // send writes the request. A large body is written concurrently with reading the
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -1,6 +1,9 @@
 package connector
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // pool holds the idle connections to one instance of a replica.
 type pool struct {
@@ -9,15 +12,20 @@
 	open int
 	// lastUsed is when a connection was last requested.
 	lastUsed time.Time
+	// heardAt is when the replica last sent something on a direct connection, in Unix
+	// nanoseconds, and checkedAt when its link was last checked because it did not.
+	heardAt   atomic.Int64
+	checkedAt time.Time
 }
 
 // take removes and returns the most recently used idle connection, or nil if none is
-// healthy and idle for less than maxIdle. The caller must close the stale ones.
-func (p *pool) take(now time.Time, maxIdle time.Duration) (found *conn, stale []*conn) {
+// healthy, idle for less than maxIdle, and detoured or not as asked. The caller must close the
+// stale ones.
+func (p *pool) take(now time.Time, maxIdle time.Duration, detoured bool) (found *conn, stale []*conn) {
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.lastUsed) < min(c.idleTimeout, maxIdle) && c.healthy() {
+		if now.Sub(c.lastUsed) < min(c.idleTimeout, maxIdle) && c.detoured == detoured && c.healthy() {
 			return c, stale
 		}
 		stale = append(stale, c)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -60,6 +60,9 @@
 		if j.request.Resumes != "" {
 			line.Str("resumes", j.request.Resumes).Str("last-event", j.request.LastEventID)
 		}
+		if j.via != "" {
+			line.Str("via", j.via).Str("tunnel", j.tunnel)
+		}
 		if res == ambiguous || res == truncated {
 			line.Str("mark", j.mark.String())
 		}
@@ -107,7 +110,7 @@
 
 // sendOnce sends the request to one replica and forwards its response to the client.
 func (f *Forwarder) sendOnce(ctx context.Context, w http.ResponseWriter, j *job, c *selector.Choice) result {
-	j.cause = nil
+	j.cause, j.via, j.tunnel = nil, "", ""
 	q := j.request
 	meta := RequestMetadata{ReplicaID: c.Replica.ID, Urgency: j.urgency()}
 	if q.Timeout > 0 {
@@ -124,7 +127,7 @@
 	var a ResponseMetadata
 	e, err := f.conns.Do(ctx, &connector.Call{
 		Instance: c.Instance, Address: c.Replica.Address, Method: q.Method, Target: q.Target, Host: q.Host,
-		Header: f.codec.EncodeRequest(q, meta), Body: body, Deadline: j.deadline, Limit: f.connectionLimit(j.service), Fresh: !j.route.Repeatable(),
+		Header: f.codec.EncodeRequest(q, meta), Body: body, Deadline: j.deadline, Limit: f.connectionLimit(j.service), Fresh: !j.route.Repeatable(), Detour: f.detour(c.Replica),
 		Matches: func(r *http.Response) bool {
 			a = f.codec.DecodeResponse(r.StatusCode, r.Header)
 			if a.Leaving && !a.Misdirected && c.ReportLeaving() {
@@ -141,6 +144,7 @@
 		return f.classifyError(ctx, j, err)
 	}
 	defer e.Close()
+	j.via, j.tunnel = e.Via()
 	if a.HasLoad {
 		c.ReportLoad(a.Load)
 	}
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -114,8 +114,8 @@
 	f.forwarder = forwarder.New(forwarder.Dependencies{
 		Catalog: f.catalog, Placements: selector.Start(ctx, f.tracker, nil, lines, selector.Options{}), Programs: granter.Start(ctx, turns, budgeter.Start(ctx, f.store, "me"), nil, lines, granter.Options{}), Logger: lines,
 		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
-		Versions: versioner.Start(ctx, f.store),
-		Scope:    tally.NoopScope, Codec: testCodec{},
+		Versions: versioner.Start(ctx, f.store), Connector: connector.New(),
+		Scope: tally.NoopScope, Codec: testCodec{},
 	}, forwarder.Options{StoreTimeout: 100 * time.Millisecond, RetryAfter: time.Second, OutageRetryAfter: time.Second})
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -19,6 +20,8 @@
 	"pimentorail.example/pimentorail/internal/prioritizer"
 	"pimentorail.example/pimentorail/internal/ranker"
 	"pimentorail.example/pimentorail/internal/selector"
+	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/tunneler"
 	"pimentorail.example/pimentorail/internal/versioner"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
@@ -55,9 +58,13 @@
 	Programs   *granter.Granter
 	Isolator   *isolator.Isolator
 	Versions   *versioner.Versioner
-	Logger     *logger.Logger
-	Scope      tally.Scope
-	Codec      Codec
+	// Connector holds the connections to replicas.
+	Connector *connector.Connector
+	// Tunnels lead to replicas whose links are cut; nil for none.
+	Tunnels *tunneler.Tunneler
+	Logger  *logger.Logger
+	Scope   tally.Scope
+	Codec   Codec
 }
 
 // Forwarder proxies requests to replicas.
@@ -71,6 +78,7 @@
 	logger     *logger.Logger
 	codec      Codec
 	conns      *connector.Connector
+	tunnels    *tunneler.Tunneler
 	meter      *meter
 	active     atomic.Int64
 	// shutdown is nil unless a planned stop has begun.
@@ -81,7 +89,7 @@
 func New(d Dependencies, o Options) *Forwarder {
 	return &Forwarder{
 		options: o, catalog: d.Catalog, placements: d.Placements, programs: d.Programs, isolator: d.Isolator, versions: d.Versions,
-		logger: d.Logger, codec: d.Codec, conns: connector.New(), meter: newMeter(d.Scope),
+		logger: d.Logger, codec: d.Codec, conns: d.Connector, tunnels: d.Tunnels, meter: newMeter(d.Scope),
 	}
 }
 
@@ -118,6 +126,9 @@
 	// possibleRuns is the number of replicas that may have run the request.
 	possibleRuns int
 	attempts     int
+	// via and tunnel name the peer and the tunnel through which the last attempt was sent,
+	// empty for a direct connection.
+	via, tunnel string
 	// responseStarted is set once a part of the response has been sent to the client.
 	responseStarted bool
 	// openedAfter and firstAfter are the times from the request's arrival until the turn
@@ -222,6 +233,14 @@
 	return max(minConnections, int(connectionShare*float64(s.Connections))/max(1, f.options.Daemons()))
 }
 
+// detour returns how to reach a replica through a peer, or nil.
+func (f *Forwarder) detour(r *tracker.Replica) connector.Dialer {
+	if f.tunnels == nil {
+		return nil
+	}
+	return func(ctx context.Context) (net.Conn, error) { return f.tunnels.Dial(ctx, r) }
+}
+
 // retryAfter returns the time after which a refused client should retry, with jitter.
 func (f *Forwarder) retryAfter() time.Duration { return withJitter(f.options.RetryAfter) }
 
--- a/internal/messenger/handshake.go
+++ b/internal/messenger/handshake.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"crypto/hmac"
 	"crypto/sha256"
 	"crypto/subtle"
 	"io"
@@ -12,26 +13,41 @@
 
 var errWrongSecret = errors.New("messenger: peer sent a wrong secret")
 
-// sendSecret sends the digest of the secret, the first bytes on a connection.
-func sendSecret(c net.Conn, secret string) error {
+// rpcKind is the kind of the connections that carry RPC; the others are streams.
+const rpcKind = ""
+
+// digestOf returns what a peer sends first on a connection of a kind.
+func digestOf(secret, kind string) [sha256.Size]byte {
+	if kind == rpcKind {
+		return sha256.Sum256([]byte(secret))
+	}
+	mac := hmac.New(sha256.New, []byte(secret))
+	mac.Write([]byte(kind))
+	return [sha256.Size]byte(mac.Sum(nil))
+}
+
+// sendSecret sends the digest of the secret and the kind, the first bytes on a connection.
+func sendSecret(c net.Conn, secret, kind string) error {
 	_ = c.SetWriteDeadline(time.Now().Add(handshakeTimeout))
-	sum := sha256.Sum256([]byte(secret))
+	sum := digestOf(secret, kind)
 	if _, err := c.Write(sum[:]); err != nil {
 		return errors.Wrap(err, "greet")
 	}
 	return c.SetWriteDeadline(time.Time{})
 }
 
-// checkSecret reads the digest that a peer sends first and compares it with the secret's.
-func checkSecret(c net.Conn, secret string) error {
+// checkSecret reads the digest that a peer sends first and returns which of the kinds it is.
+func checkSecret(c net.Conn, secret string, kinds []string) (string, error) {
 	_ = c.SetReadDeadline(time.Now().Add(handshakeTimeout))
-	expected := sha256.Sum256([]byte(secret))
 	var received [sha256.Size]byte
 	if _, err := io.ReadFull(c, received[:]); err != nil {
-		return errors.Wrap(err, "admit")
+		return "", errors.Wrap(err, "admit")
 	}
-	if subtle.ConstantTimeCompare(received[:], expected[:]) != 1 {
-		return errWrongSecret
+	for _, kind := range kinds {
+		expected := digestOf(secret, kind)
+		if subtle.ConstantTimeCompare(received[:], expected[:]) == 1 {
+			return kind, c.SetReadDeadline(time.Time{})
+		}
 	}
-	return c.SetReadDeadline(time.Time{})
+	return "", errWrongSecret
 }
--- a/internal/messenger/pool.go
+++ b/internal/messenger/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/rpc"
 	"reflect"
 	"sync"
@@ -62,16 +63,10 @@
 	if ok {
 		return c, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := p.dial(ctx, address)
+	conn, err := p.open(ctx, address, rpcKind)
 	if err != nil {
 		return nil, err
 	}
-	if err := sendSecret(conn, p.secret); err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
 	created := rpc.NewClient(writeTimeoutConn{conn})
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,6 +78,28 @@
 	return created, nil
 }
 
+// OpenStream opens a connection of its own to a peer, which hands it to the handler that is
+// registered for the kind. The caller must close it.
+func (p *Pool) OpenStream(ctx context.Context, address, kind string) (net.Conn, error) {
+	c, err := p.open(ctx, address, kind)
+	return c, errors.Wrapf(err, "open %s at %s", kind, address)
+}
+
+// open dials a peer and sends the secret.
+func (p *Pool) open(ctx context.Context, address, kind string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := sendSecret(conn, p.secret, kind); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
 // drop closes a connection after a failed call, so that the next call opens a new one.
 func (p *Pool) drop(address string, c *rpc.Client) {
 	p.mu.Lock()
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -2,27 +2,37 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 )
 
+// StreamHandler serves a connection that a peer opened with Pool.OpenStream. The connection is
+// closed when ServeStream returns, or when the server stops.
+type StreamHandler interface {
+	ServeStream(c net.Conn)
+}
+
 // Server serves RPC services to peers that send the deployment's secret.
 type Server struct {
 	mu     sync.Mutex
 	rpc    *rpc.Server
 	secret string
-	conns  map[net.Conn]bool
-	ln     net.Listener
-	tomb   *tomb.Tomb
+	// streams are the handlers of connections that carry no RPC, by kind.
+	streams map[string]StreamHandler
+	conns   map[net.Conn]bool
+	ln      net.Listener
+	tomb    *tomb.Tomb
 }
 
 // NewServer returns a server without services that accepts peers with the secret.
 func NewServer(secret string) *Server {
-	return &Server{rpc: rpc.NewServer(), secret: secret, conns: map[net.Conn]bool{}}
+	return &Server{rpc: rpc.NewServer(), secret: secret, streams: map[string]StreamHandler{}, conns: map[net.Conn]bool{}}
 }
 
 // Register adds a service under a name.
@@ -30,6 +40,10 @@
 	return s.rpc.RegisterName(name, service)
 }
 
+// RegisterStream adds the handler of a kind of connections that carry no RPC; call it before
+// Start.
+func (s *Server) RegisterStream(kind string, h StreamHandler) { s.streams[kind] = h }
+
 // Start accepts connections on a listener until the context ends.
 func (s *Server) Start(ctx context.Context, l net.Listener) {
 	s.ln = l
@@ -68,11 +82,16 @@
 // ServeConn checks the secret of a connection and serves its calls until it is closed.
 func (s *Server) ServeConn(c net.Conn) {
 	defer c.Close()
-	if err := checkSecret(c, s.secret); err != nil {
+	kind, err := checkSecret(c, s.secret, append([]string{rpcKind}, slices.Collect(maps.Keys(s.streams))...))
+	if err != nil {
 		klog.Warningf("messenger: rejected connection from %v: %v", c.RemoteAddr(), err)
 		return
 	}
-	s.rpc.ServeConn(c)
+	if kind == rpcKind {
+		s.rpc.ServeConn(c)
+		return
+	}
+	s.streams[kind].ServeStream(c)
 }
 
 // session is an accepted connection, registered with its server while it is served.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -51,6 +51,8 @@
 type Options struct {
 	// VM is the name of this VM, which stays the same across restarts of the daemon.
 	VM, Zone string
+	// OtherZones are the names of the other availability zones.
+	OtherZones []string
 	// Address is this daemon's address for peers; empty disables relaying.
 	Address string
 	Dial    messenger.Dialer
@@ -67,10 +69,13 @@
 	service *Service
 	// services are all RPC services offered to peers, by name.
 	services map[string]any
-	logger   *logger.Logger
-	pool     atomic.Pointer[messenger.Pool]
-	tomb     *tomb.Tomb
-	relayed  atomic.Int64
+	// streams are the handlers of connections from other daemons that carry no RPC, by kind.
+	streams    map[string]messenger.StreamHandler
+	neighbours neighbours
+	logger     *logger.Logger
+	pool       atomic.Pointer[messenger.Pool]
+	tomb       *tomb.Tomb
+	relayed    atomic.Int64
 	// reachedByPeer reports whether the last relayed call reached the store.
 	reachedByPeer atomic.Bool
 }
@@ -78,7 +83,7 @@
 // New returns a relayer without peers; Start begins to discover them.
 func New(direct *storer.Guard, r *logger.Logger, o Options) *Relayer {
 	m := newMembers(o.VM)
-	return &Relayer{direct: direct, options: o, members: m, service: &Service{direct: direct, members: m}, services: map[string]any{}, logger: r}
+	return &Relayer{direct: direct, options: o, members: m, service: &Service{direct: direct, members: m}, services: map[string]any{}, streams: map[string]messenger.StreamHandler{}, logger: r}
 }
 
 // Register registers an additional RPC service for peers; call it before Start.
@@ -123,7 +128,10 @@
 }
 
 // table returns the name of the table that holds the zone's member rows.
-func (x *Relayer) table() string { return "members-" + x.options.Zone + "/" + membersPartition }
+func (x *Relayer) table() string { return membersTable(x.options.Zone) }
+
+// membersTable returns the name of the table that holds the member rows of a zone.
+func membersTable(zone string) string { return "members-" + zone + "/" + membersPartition }
 
 // key returns the key of this daemon's member row.
 func (x *Relayer) key() string { return storer.Prefix(x.table()) + x.options.VM }
@@ -186,6 +194,9 @@
 				return true
 			}
 		}
+		for kind, h := range x.streams {
+			s.RegisterStream(kind, h)
+		}
 		s.Start(ctx, l)
 		x.pool.Store(messenger.NewPool(x.options.Dial, secret))
 	}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -28,6 +28,7 @@
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/tunneler"
 	"pimentorail.example/pimentorail/internal/versioner"
 )
 
@@ -85,21 +86,27 @@
 
 // Daemon is one process that forwards client requests to replicas.
 type Daemon struct {
-	options      Options
-	platform     Platform
-	logger       *logger.Logger
-	metrics      *reporter.Reporter
-	catalog      *cataloger.Keeper
-	tracker      *tracker.Tracker
-	outageLog    *outageLog
-	store        *storer.Guard
-	relayer      *relayer.Relayer
-	turns        *archivist.Archivist
-	budgets      *budgeter.Budgeter
-	programs     *granter.Granter
-	placements   *selector.Selector
-	isolator     *isolator.Isolator
-	versions     *versioner.Versioner
+	options    Options
+	platform   Platform
+	logger     *logger.Logger
+	metrics    *reporter.Reporter
+	catalog    *cataloger.Keeper
+	tracker    *tracker.Tracker
+	outageLog  *outageLog
+	store      *storer.Guard
+	relayer    *relayer.Relayer
+	turns      *archivist.Archivist
+	budgets    *budgeter.Budgeter
+	programs   *granter.Granter
+	placements *selector.Selector
+	isolator   *isolator.Isolator
+	versions   *versioner.Versioner
+	conns      *connector.Connector
+	// tunnels lead through peers, and tunnelService serves those of peers.
+	tunnels       *tunneler.Tunneler
+	tunnelService *tunneler.Service
+	// cutOffSince is when this daemon was found to reach no replica itself, zero if it does.
+	cutOffSince  time.Time
 	forwarder    *forwarder.Forwarder
 	stopping     atomic.Bool
 	clientServer *http.Server
@@ -139,7 +146,7 @@
 	d.tracker = tracker.New(tracker.Options{OutageGrace: outageGrace})
 	d.store = newGuard(p.Table, p.Feed)
 	d.relayer = relayer.New(d.store, d.logger, relayer.Options{
-		VM: o.VM, Zone: o.Zone, Address: o.PeerAddress, Dial: dialPeer, Listen: listen,
+		VM: o.VM, Zone: o.Zone, OtherZones: o.OtherZones, Address: o.PeerAddress, Dial: dialPeer, Listen: listen,
 	})
 	d.turns = archivist.New(d.relayer, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsCacheDivisor)})
 	d.budgets = budgeter.Start(ctx, d.relayer, o.Name)
@@ -149,10 +156,14 @@
 	})
 	d.relayer.Register(granter.ServiceName, d.programs.Service())
 	d.relayer.Register(selector.ServiceName, d.placements.Coordinator())
+	d.conns = connector.New()
+	d.tunnels = tunneler.New(o.Name, d.relayer, d.logger)
+	d.tunnelService = tunneler.NewService(d.tracker, d.conns, d.logger)
+	d.relayer.RegisterStream(tunneler.StreamKind(), d.tunnelService)
 	d.isolator = isolator.Start(ctx, d.relayer, d.logger, isolator.Options{Name: o.Name, Crashed: connector.Refused})
 	d.versions = versioner.Start(ctx, d.relayer)
 	d.forwarder = forwarder.New(forwarder.Dependencies{
-		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator, Versions: d.versions,
+		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator, Versions: d.versions, Connector: d.conns, Tunnels: d.tunnels,
 		Logger: d.logger, Scope: d.metrics.Scope(), Codec: p.Codec,
 	}, forwarder.Options{
 		StoreTimeout: storeTimeout, RetryAfter: retryAfter, OutageRetryAfter: outageRetryAfter, Daemons: d.estimateDaemons,
@@ -280,6 +291,7 @@
 		case <-time.After(evictPeriod):
 			d.forwarder.EvictIdle()
 			d.updateGauges()
+			d.logCutOff()
 			if round%roundsPerCounts == 0 {
 				d.logCounts()
 			}
@@ -289,6 +301,19 @@
 	}
 }
 
+// logCutOff logs when this daemon no longer reaches any replica itself, and when it does again.
+func (d *Daemon) logCutOff() {
+	since, cut := d.conns.CutOff()
+	switch {
+	case cut && d.cutOffSince.IsZero():
+		d.cutOffSince = since
+		d.logger.Event("server", "cut off from replicas").Dur("since", time.Since(since)).End()
+	case !cut && !d.cutOffSince.IsZero():
+		d.logger.Event("server", "replicas reached again").Dur("after", time.Since(d.cutOffSince)).End()
+		d.cutOffSince = time.Time{}
+	}
+}
+
 // logCounts logs the totals since the start. The names of the counts are fixed. In them, a
 // home is the coordinator of a program and a desk that of a service; "missed" counts the
 // turns and requests that fell back to this daemon. Turns opened and requests seated
@@ -312,6 +337,7 @@
 		Int("desks-asked", int(coordinatorsAsked)).Int("desks-missed", int(fellBack)).Int("seated-for-peers", int(placed)).
 		Int("streams-recorded", int(recorded)).Int("streams-unrecorded", int(dropped)).
 		Int("relayed", int(relayed)).Int("relays-served", int(served)).
+		Int("detoured", int(c.Detoured)).Int("tunnels-served", d.tunnelService.Active()).
 		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).
 		Int("lines-dropped", int(d.logger.Dropped())).End()
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -19,6 +19,13 @@
 	s.Gauge("log-lines-dropped").Update(float64(d.logger.Dropped()))
 	c := d.forwarder.Connections()
 	s.Gauge("connections-dialed").Update(float64(c.Dialed))
+	s.Gauge("connections-detoured").Update(float64(c.Detoured))
+	s.Gauge("tunnels-served").Update(float64(d.tunnelService.Active()))
+	cutOffSeconds := 0.0
+	if since, cut := d.conns.CutOff(); cut {
+		cutOffSeconds = time.Since(since).Seconds()
+	}
+	s.Gauge("replicas-cut-off-seconds").Update(cutOffSeconds)
 	s.Gauge("connections-reused").Update(float64(c.Reused))
 	s.Gauge("exchanges-failed").Update(float64(c.Failed))
 	s.Gauge("answers-foreign").Update(float64(c.Foreign))
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -21,6 +21,8 @@
 	Zone string
 	// Zones is the number of availability zones.
 	Zones int
+	// OtherZones are the names of the zones but this daemon's.
+	OtherZones []string
 	// ClientAddress, ReadyAddress and MetricsAddress are the addresses, host:port, that
 	// serve clients, readiness and metrics. MetricsAddress may be empty.
 	ClientAddress, ReadyAddress, MetricsAddress string
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -26,6 +26,7 @@
 	d.stopping.Store(true)
 	d.programs.Leave()
 	d.placements.Leave()
+	d.tunnelService.Leave()
 	d.forwarder.Shutdown(began.Add(min(acceptTime, d.options.Grace*2/5)), endsAt)
 	d.logger.Event("server", "stop").Int("active", d.forwarder.Active()).End()
 	if d.tomb.Alive() {
@@ -41,6 +42,7 @@
 		err = d.finishRequests(ctx, 0)
 	}
 	<-s.done
+	d.tunnelService.Drain(ctx)
 	d.logCounts()
 	d.logger.Event("server", "stopped").Int("active", d.forwarder.Active()).Dur("took", time.Since(began)).Err(err).End()
 	_ = d.readyServer.Close()
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -87,6 +87,16 @@
 	return leaving || e != nil && e.replica.instance == r.instance && e.replica.Draining
 }
 
+// Find returns the known replica with an id, or nil.
+func (t *Tracker) Find(id string) *Replica {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if e := t.entries[id]; e != nil {
+		return e.replica
+	}
+	return nil
+}
+
 // Len returns the number of known replicas, usable or not.
 func (t *Tracker) Len() int {
 	t.mu.RLock()
