tunneler,server,isolator: [fix] a cut link is not taken for the crash of its replica

Callers got 502 (code 4006, the request crashes its replicas) for sound requests, at all daemons, after one daemon's links to several replicas had been cut while the requests were there.

Cause: the check whether a replica's process has ended was a refused connection alone, and a cut may refuse connections too. What one daemon does not reach was told to all others as a crash.

Change: a refused connection counts only if a peer's is refused too. If all peers that were asked are cut off themselves, nothing is known and no crash is recorded; without peers it counts as before.

--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -160,7 +160,7 @@
 	d.tunnels = tunneler.New(o.Name, d.relayer, d.logger)
 	d.tunnelService = tunneler.NewService(d.tracker, d.conns, d.logger)
 	d.relayer.RegisterStream(tunneler.StreamKind(), d.tunnelService)
-	d.isolator = isolator.Start(ctx, d.relayer, d.logger, isolator.Options{Name: o.Name, Crashed: connector.Refused})
+	d.isolator = isolator.Start(ctx, d.relayer, d.logger, isolator.Options{Name: o.Name, Crashed: d.hasEnded})
 	d.versions = versioner.Start(ctx, d.relayer)
 	d.forwarder = forwarder.New(forwarder.Dependencies{
 		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator, Versions: d.versions, Connector: d.conns, Tunnels: d.tunnels,
@@ -301,6 +301,16 @@
 	}
 }
 
+// hasEnded reports whether the process of a replica at an address has ended. A refused
+// connection may also mean that the link is cut, so peers are asked as well.
+func (d *Daemon) hasEnded(ctx context.Context, address string) bool {
+	if !connector.Refused(ctx, address) {
+		return false
+	}
+	r := d.tracker.AtAddress(address)
+	return r == nil || d.tunnels.Ended(ctx, r)
+}
+
 // logCutOff logs when this daemon no longer reaches any replica itself, and when it does again.
 func (d *Daemon) logCutOff() {
 	since, cut := d.conns.CutOff()
--- a/internal/server/stranded_test.go
+++ b/internal/server/stranded_test.go
@@ -267,3 +267,31 @@
 		})
 	}
 }
+
+// cutRequest is a request that is at a replica when the link is cut.
+type cutRequest struct{ zone *strandedZone }
+
+func (r *cutRequest) run() { _, _ = get("http://" + r.zone.daemons[0].front + "/slow/") }
+
+// A daemon whose links were cut took the replicas for crashed, and had the requests that were
+// there refused everywhere.
+func TestACutLinkCondemnsNoRequest(t *testing.T) {
+	is := is.New(t)
+	z := newStrandedZone(t, 2, 3)
+	z.waitForPeers()
+	for _, r := range z.replicas {
+		for range cap(r.arrived) / 4 {
+			go (&cutRequest{z}).run()
+		}
+	}
+	for _, r := range z.replicas {
+		<-r.arrived // Each replica runs the request.
+	}
+	z.cutOff(0, refused)
+	time.Sleep(3 * time.Second) // A crash would be known to all daemons by now.
+	for _, r := range z.replicas {
+		close(r.release)
+	}
+	status, _ := get("http://" + z.daemons[1].front + "/slow/")
+	is.Equal(status, http.StatusOK)
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -97,6 +97,18 @@
 	return nil
 }
 
+// AtAddress returns a known replica at an address, or nil.
+func (t *Tracker) AtAddress(address string) *Replica {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, e := range t.entries {
+		if e.replica.Address == address {
+			return e.replica
+		}
+	}
+	return nil
+}
+
 // Len returns the number of known replicas, usable or not.
 func (t *Tracker) Len() int {
 	t.mu.RLock()
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -56,6 +56,17 @@
 	return c, nil
 }
 
+// Ended reports whether no process listens at a replica's address, as far as peers tell. It
+// returns false if none of them knows, and true if there are none.
+func (t *Tunneler) Ended(ctx context.Context, r *tracker.Replica) bool {
+	c, seen, err := t.ask(ctx, r)
+	if err == nil {
+		_ = c.Close()
+		return false
+	}
+	return seen[refused] > 0 || len(t.peers.Others())+len(t.peers.Elsewhere(ctx)) == 0
+}
+
 // ask asks peers for a connection until one opens it, and counts their answers.
 func (t *Tunneler) ask(ctx context.Context, r *tracker.Replica) (*Conn, map[status]int, error) {
 	seen := map[status]int{}
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -309,6 +309,33 @@
 	is.Equal(f.network.elsewhere[0].asked+f.network.elsewhere[1].asked, 0)
 }
 
+// A replica that crashed was taken for one behind a cut link, or the other way round.
+func TestEndedReplicasAreToldFromCutLinks(t *testing.T) {
+	for name, row := range map[string]struct {
+		cut   bool
+		err   error
+		ended bool
+	}{
+		"reached":                 {false, nil, false},
+		"refused":                 {false, syscall.ECONNREFUSED, true},
+		"silent":                  {false, syscall.ETIMEDOUT, false},
+		"all peers are cut off":   {true, nil, false},
+		"an error that says less": {false, errors.New("no route"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, 2, 1)
+			for _, n := range append(f.network.zone, f.network.elsewhere...) {
+				n.cut, n.dialError = row.cut, row.err
+			}
+			u := f.tunneler()
+			is.Equal(u.Ended(context.Background(), f.replica), row.ended)
+			_, err := u.Dial(context.Background(), f.replica)
+			is.Equal(err == nil, row.err == nil && !row.cut)
+		})
+	}
+}
+
 // A peer dialed whatever address it was told, or an earlier start of the replica.
 func TestOnlyKnownReplicasAreDialed(t *testing.T) {
 	is := is.New(t)
