connector: [fix] a replica that stands still for two seconds keeps its connections

Callers lost requests at sound replicas that fell silent for more than a second and went on.

Cause: TCP_USER_TIMEOUT of 1.5 s on connections to replicas. Bytes that a silent replica does not acknowledge are sent again after 0.2, 0.6, 1.4 and 3 s, so that a pause between 1.4 and 1.5 s or longer closed the connection, with the requests on it, although the replica was back.

Change: 3.5 s, after the fourth retransmission.

TestAReplicaThatStandsStillKeepsItsConnections (a pause of 2 s within a body) failed after 1.7 s before and passes now.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -18,8 +18,9 @@
 	maxHeadBytes = 64 << 10
 	// dialTimeout allows for one lost SYN packet, which is retransmitted after a second.
 	dialTimeout = 1500 * time.Millisecond
-	// userTimeout is the time after which a connection with unacknowledged bytes is closed.
-	userTimeout = 1500 * time.Millisecond
+	// userTimeout is the time after which a connection with unacknowledged bytes is closed. A
+	// sound replica may stand still for a second or two; TCP sends again at 1.4 and 3 s.
+	userTimeout = 3500 * time.Millisecond
 	// idleMargin is subtracted from the replica's idle timeout, so that an idle connection
 	// is dropped before the replica closes it.
 	idleMargin = 700 * time.Millisecond
