connector,tunneler: [fix] peers without requests of their own try their links when they are asked

Callers of a daemon that was cut off were refused, although the links of its peers were whole again.

Cause: what a daemon knows of its links was only corrected by its own requests. A peer without any answered "cut off" for as long as it had none; and the daemon that had asked took this for a failure of the replica, and asked nobody for half a second.

Change: a peer that is asked dials if a probe of the link is due; only peers that tried to reach a replica say something about it.

TestPeersWithoutRequestsTryTheirLinks fails without the change.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -39,6 +39,10 @@
 // ErrConnectionLimit is returned if the limit of connections to an instance is reached.
 var ErrConnectionLimit = errors.New("connector: connection limit reached")
 
+// ErrUnreached is returned by a Dialer if peers tried to reach the replica and did not. Any
+// other error says nothing about the replica.
+var ErrUnreached = errors.New("connector: peers do not reach the replica either")
+
 // Counts are a Connector's counters: connections dialed and reused, failed exchanges and
 // dials, and responses to other requests.
 type Counts struct {
@@ -165,6 +169,14 @@
 // daemon does not.
 func (c *Connector) IsCut(instance string) bool { return c.paths.cut(instance, time.Now()) }
 
+// MayDial reports whether a peer's connection to a replica should be tried: its link does not
+// count as cut, or is to be probed now. What a daemon without requests of its own knows of its
+// links would otherwise stay as it is.
+func (c *Connector) MayDial(instance string) bool {
+	now := time.Now()
+	return !c.paths.cut(instance, now) || c.paths.probe(instance, now)
+}
+
 // DialDirectly opens a connection to a replica for a peer.
 func (c *Connector) DialDirectly(ctx context.Context, instance, address string) (net.Conn, error) {
 	n, err := c.dialer.DialContext(ctx, "tcp", address)
--- a/internal/connector/detour_test.go
+++ b/internal/connector/detour_test.go
@@ -58,13 +58,15 @@
 // peer opens connections to a replica, and counts them.
 type peer struct {
 	address string
-	opened  atomic.Int64
+	// err is returned without an address.
+	err    error
+	opened atomic.Int64
 }
 
 func (p *peer) dial(ctx context.Context) (net.Conn, error) {
 	p.opened.Add(1)
 	if p.address == "" {
-		return nil, errors.New("the peer does not reach the replica either")
+		return nil, p.err
 	}
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", p.address)
@@ -114,7 +116,7 @@
 // A replica that is down cost a call to peers for each request, and its error was hidden.
 func TestAReplicaThatIsDownIsAskedForOnce(t *testing.T) {
 	is := is.New(t)
-	p := &peer{}
+	p := &peer{err: connector.ErrUnreached}
 	c := connector.New()
 	defer c.Close()
 	address := closedAddress(t)
@@ -191,3 +193,31 @@
 		is.NoErr(err)
 	}
 }
+
+// Peers whose links had been cut before said so for ever, because they had no requests that
+// would have shown that the links were whole again; and a daemon that they could not help took
+// that for a failure of the replica.
+func TestPeersWithoutRequestsTryTheirLinks(t *testing.T) {
+	is := is.New(t)
+	r := newSilentReplica(t)
+	address := r.listener.Addr().String()
+	c := connector.New()
+	defer c.Close()
+	_, err := exchange(c, "a", closedAddress(t), &peer{address: address}, time.Second)
+	is.NoErr(err)
+	is.True(c.IsCut("a"))
+	is.True(!c.MayDial("a"))
+	time.Sleep(connector.ProbePeriod)
+	is.True(c.MayDial("a"))
+	n, err := c.DialDirectly(context.Background(), "a", address)
+	is.NoErr(err)
+	_ = n.Close()
+	is.True(!c.IsCut("a"))
+
+	p := &peer{err: errors.New("the peer is cut off")}
+	for range 2 {
+		_, err = exchange(c, "b", closedAddress(t), p, time.Second)
+		is.True(err != nil)
+	}
+	is.Equal(p.opened.Load(), int64(2)) // It is asked again: nothing is known of the replica.
+}
--- a/internal/connector/dial.go
+++ b/internal/connector/dial.go
@@ -5,6 +5,8 @@
 	"context"
 	"net"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // detourDelay is how long a direct attempt may take before a peer is asked as well. Within a
@@ -90,7 +92,7 @@
 				c.detoured.Add(1)
 				return newConn(r.conn, true), nil
 			}
-			if ctx.Err() == nil {
+			if errors.Is(r.err, ErrUnreached) {
 				c.paths.unreached(instance, time.Now())
 			}
 			if !p.direct {
--- a/internal/server/stranded_test.go
+++ b/internal/server/stranded_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -39,24 +42,25 @@
 
 	mu    sync.Mutex
 	conns []net.Conn
+	isCut bool
 }
 
-func newLink(t *testing.T, target string) *link {
+func newLink(t *testing.T, ip, target string) *link {
 	t.Helper()
 	l := &link{target: target}
 	var err error
-	if l.proxy, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	if l.proxy, err = net.Listen("tcp", ip+":0"); err != nil {
 		t.Fatal(err)
 	}
 	l.address = l.proxy.Addr().String()
 	t.Cleanup(func() { _ = l.proxy.Close() })
-	go l.run()
+	go l.run(l.proxy)
 	return l
 }
 
-func (l *link) run() {
+func (l *link) run(proxy net.Listener) {
 	for {
-		c, err := l.proxy.Accept()
+		c, err := proxy.Accept()
 		if err != nil {
 			return
 		}
@@ -84,17 +88,39 @@
 // cut makes new connections fail, and closes the open ones.
 func (l *link) cut(t *testing.T, how cut) {
 	t.Helper()
-	_ = l.proxy.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.isCut {
+		return
+	}
+	l.isCut = true
+	_ = l.proxy.Close()
 	for _, c := range l.conns {
 		_ = c.Close()
 	}
+	l.conns = nil
 	if how == hanging {
 		l.listenWithFullBacklog(t)
 	}
 }
 
+// restore accepts connections again.
+func (l *link) restore(t *testing.T) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isCut {
+		return
+	}
+	proxy, err := net.Listen("tcp", l.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = proxy.Close() })
+	l.isCut, l.proxy = false, proxy
+	go l.run(proxy)
+}
+
 // listenWithFullBacklog listens at the link's address, so that the kernel drops the packets
 // that open further connections.
 func (l *link) listenWithFullBacklog(t *testing.T) {
@@ -132,13 +158,25 @@
 	replicas []*replica
 	daemons  []*daemon
 	links    [][]*link
+	// number differs between the zones of a test process.
+	number int
 }
 
+var zones atomic.Int64
+
 func newStrandedZone(t *testing.T, daemons, replicas int) *strandedZone {
 	t.Helper()
-	z := &strandedZone{t: t, store: emulator.NewStore()}
+	return newStrandedZoneWith(t, daemons, replicas, func(name string) *replica { return newReplica(t, name) })
+}
+
+// newStrandedZoneWith is newStrandedZone with replicas of its own kind.
+func newStrandedZoneWith(t *testing.T, daemons, replicas int, newReplica func(name string) *replica) *strandedZone {
+	t.Helper()
+	z := &strandedZone{t: t, store: emulator.NewStore(), number: int(zones.Add(1))}
 	for i := range replicas {
-		z.replicas = append(z.replicas, newReplica(t, string(rune('a'+i))))
+		r := newReplica(string(rune('a' + i)))
+		t.Cleanup(r.Close)
+		z.replicas = append(z.replicas, r)
 	}
 	for i := range daemons {
 		z.start(i)
@@ -160,15 +198,15 @@
 	byTarget := map[string]*link{}
 	var links []*link
 	for _, r := range z.replicas {
-		l := newLink(z.t, strings.TrimPrefix(r.URL, "http://"))
+		l := newLink(z.t, z.ip(i), strings.TrimPrefix(r.URL, "http://"))
 		byTarget[l.target] = l
 		links = append(links, l)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &daemon{t: z.t, store: z.store, front: freeAddress(z.t), ready: freeAddress(z.t), cancel: cancel, ended: make(chan error, 1)}
+	d := &daemon{t: z.t, store: z.store, front: z.ip(i) + ":7001", ready: z.ip(i) + ":7002", cancel: cancel, ended: make(chan error, 1)}
 	name := string(rune('A' + i))
 	go d.run(ctx, server.Options{
-		Name: name + "-1", VM: name, Zone: "z", Zones: 1, ClientAddress: d.front, ReadyAddress: d.ready, PeerAddress: freeAddress(z.t), ReadyPath: "/ready",
+		Name: name + "-1", VM: name, Zone: "z", Zones: 1, ClientAddress: d.front, ReadyAddress: d.ready, PeerAddress: z.ip(i) + ":7003", ReadyPath: "/ready",
 		Grace: 3 * time.Second, RowBytes: 1000, MemoryBytes: 64 << 20, Output: io.Discard,
 	}, server.Platform{
 		Table: z.store, Feed: z.store, Codec: plainCodec{}, CatalogTable: "config", CatalogKey: "all", DecodeCatalog: decodeCatalog,
@@ -187,6 +225,13 @@
 	z.links = append(z.links, links)
 }
 
+// ip returns the address of a daemon and its links. No other process uses it, so that its
+// ports are free, also while a link is cut.
+func (z *strandedZone) ip(daemon int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 128+pid>>8&0x7f, pid&0xff, (10+4*z.number+daemon)&0xff)
+}
+
 func (d *daemon) waitUntilReady() {
 	d.t.Helper()
 	for range 500 {
--- a/internal/tunneler/service.go
+++ b/internal/tunneler/service.go
@@ -25,8 +25,8 @@
 type Links interface {
 	// DialDirectly opens a connection to a replica.
 	DialDirectly(ctx context.Context, instance, address string) (net.Conn, error)
-	// IsCut reports whether the link to a replica counts as cut.
-	IsCut(instance string) bool
+	// MayDial reports whether the link to a replica is not known to be cut, or is to be probed.
+	MayDial(instance string) bool
 }
 
 // Service serves the tunnels of peers. It implements messenger.StreamHandler.
@@ -107,7 +107,7 @@
 	if r == nil || r.StartedMS != h.StartedMS {
 		return unknown
 	}
-	if s.links.IsCut(r.Instance()) {
+	if !s.links.MayDial(r.Instance()) {
 		return cutOff
 	}
 	if !s.add(t) {
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"pimentorail.example/pimentorail/internal/assigner"
+	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
@@ -21,8 +22,8 @@
 	askTimeout  = 250 * time.Millisecond
 )
 
-// ErrNoPeer is returned if no peer opened a connection to the replica.
-var ErrNoPeer = errors.New("tunneler: no peer reached the replica")
+// ErrNoPeer is returned if no peer could try to reach the replica.
+var ErrNoPeer = errors.New("tunneler: no peer can reach the replica now")
 
 // Peers are the other daemons and the connections to them.
 type Peers interface {
@@ -46,14 +47,17 @@
 	return &Tunneler{peers: peers, name: name, logger: l}
 }
 
-// Dial opens a connection to a replica through a peer. It returns ErrNoPeer if no peer reaches
-// the replica.
+// Dial opens a connection to a replica through a peer. It returns connector.ErrUnreached if
+// peers tried and did not reach the replica, and ErrNoPeer if none could try.
 func (t *Tunneler) Dial(ctx context.Context, r *tracker.Replica) (net.Conn, error) {
-	c, _, err := t.ask(ctx, r)
-	if err != nil {
-		return nil, err
+	c, seen, err := t.ask(ctx, r)
+	switch {
+	case err == nil:
+		return c, nil
+	case ctx.Err() == nil && seen[refused]+seen[unreached] > 0:
+		return nil, connector.ErrUnreached
 	}
-	return c, nil
+	return nil, err
 }
 
 // Ended reports whether no process listens at a replica's address, as far as peers tell. It
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"pimentorail.example/pimentorail/internal/assigner"
+	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/seeder"
 	"pimentorail.example/pimentorail/internal/tracker"
@@ -59,11 +60,11 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// IsCut implements tunneler.Links.
-func (n *node) IsCut(string) bool {
+// MayDial implements tunneler.Links.
+func (n *node) MayDial(string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut
+	return !n.cut
 }
 
 func (n *node) run() {
@@ -332,6 +333,8 @@
 			is.Equal(u.Ended(context.Background(), f.replica), row.ended)
 			_, err := u.Dial(context.Background(), f.replica)
 			is.Equal(err == nil, row.err == nil && !row.cut)
+			// Only peers that tried say something about the replica.
+			is.Equal(errors.Is(err, connector.ErrUnreached), row.err != nil)
 		})
 	}
 }
