connector: [fix] a request does not wait for a cut link if no peer can help

Callers of a daemon that was cut off waited up to 1.5 s for each replica that was tried, although the daemon knew that its links were cut and that no peer could help at that time.

Cause: when the peers could not help, the replica was dialed directly once more, also between probes, and the request that carried a probe waited for it.

Change: a link that counts as cut is only dialed as a probe, and a request waits for its probe no longer than 80 ms after the peers have failed; the connection is kept if it comes later. The request is then tried at another replica or refused at once as not run.

--- a/internal/connector/detour_test.go
+++ b/internal/connector/detour_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -95,6 +97,61 @@
 	return l.Addr().String()
 }
 
+// hangingAddress returns an address to which connections are never established: the kernel
+// drops the packets that open them, since the backlog is full.
+func hangingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err == nil {
+		err = syscall.Listen(fd, 0)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))
+	for range 3 {
+		if c, err := net.DialTimeout("tcp", address, 50*time.Millisecond); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}
+	return address
+}
+
+// A request waited for a link that was known to be cut, though no peer could help.
+func TestARequestFailsAtOnceIfNoPeerCanHelp(t *testing.T) {
+	is := is.New(t)
+	r := newSilentReplica(t)
+	p := &peer{address: r.listener.Addr().String()}
+	c := connector.New()
+	defer c.Close()
+	address := hangingAddress(t)
+	for _, instance := range []string{"a", "b", "c"} {
+		_, err := exchange(c, instance, address, p, time.Second)
+		is.NoErr(err)
+	}
+	for _, reason := range []error{errors.New("the peer is cut off"), connector.ErrUnreached} {
+		p = &peer{err: reason}
+		time.Sleep(connector.ProbePeriod) // One of the requests is a probe.
+		c.Close()                         // Nor is there a connection left.
+		for range 3 {
+			start := time.Now()
+			_, err := exchange(c, "a", address, p, 3*time.Second)
+			var e *connector.Error
+			is.True(errors.As(err, &e))
+			is.True(!e.Sent)
+			is.True(time.Since(start) < 300*time.Millisecond)
+		}
+	}
+}
+
 // A request failed though a peer reached its replica.
 func TestARefusedConnectionIsOpenedThroughAPeer(t *testing.T) {
 	is := is.New(t)
--- a/internal/connector/dial.go
+++ b/internal/connector/dial.go
@@ -36,24 +36,27 @@
 	defer cancel()
 	d := &dialing{connector: c, call: q, direct: make(chan dialResult), detour: make(chan dialResult), done: make(chan struct{})}
 	defer close(d.done)
-	plan := c.paths.plan(q.Instance, time.Now())
-	plan.detour = plan.detour && q.Detour != nil
-	if !plan.detour {
-		plan.direct, plan.cut = true, false
+	way := plan{direct: true}
+	if q.Detour != nil {
+		way = c.paths.plan(q.Instance, time.Now())
 	}
-	x, err := d.open(ctx, plan)
+	x, err := d.open(ctx, way)
 	if err != nil {
 		c.failed.Add(1)
 	}
 	return x, err
 }
 
+// errNoWay is returned if the link to the replica is cut and no peer reaches the replica.
+var errNoWay = errors.New("connector: the link to the replica is cut, and no peer reaches it")
+
 // open makes the attempts of a plan and returns the first connection, or the error of the
-// direct attempt.
+// direct attempt. It does not wait for a probe if the peers can't help.
 func (d *dialing) open(ctx context.Context, p plan) (*conn, error) {
 	c, instance := d.connector, d.call.Instance
 	attempts := 0
-	var directErr error
+	failure := errNoWay
+	var giveUp <-chan time.Time
 	if p.direct {
 		attempts++
 		go directDial{d}.run()
@@ -63,6 +66,8 @@
 	case p.detour && p.cut:
 		attempts++
 		go detourDial{d}.run(ctx)
+	case p.cut:
+		giveUp = time.After(detourDelay)
 	case p.detour:
 		timer := time.NewTimer(detourDelay)
 		defer timer.Stop()
@@ -75,7 +80,7 @@
 				return newConn(r.conn, false), nil
 			}
 			attempts--
-			directErr = r.err
+			failure = r.err
 			if wait != nil {
 				wait = nil
 				attempts++
@@ -95,17 +100,16 @@
 			if errors.Is(r.err, ErrUnreached) {
 				c.paths.unreached(instance, time.Now())
 			}
-			if !p.direct {
-				// The link may work again, and no peer may be left.
-				p.direct = true
-				attempts++
-				go directDial{d}.run()
+			if p.cut {
+				giveUp = time.After(detourDelay)
 			}
+		case <-giveUp:
+			return nil, failure
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
-	return nil, directErr
+	return nil, failure
 }
 
 // directDial is the direct attempt of a dialing.
--- a/internal/connector/paths.go
+++ b/internal/connector/paths.go
@@ -47,7 +47,8 @@
 
 // plan is how to open a connection.
 type plan struct {
-	// direct is set if the replica is dialed directly, and detour if peers may be asked.
+	// direct is set if the replica is dialed directly, and detour if peers may be asked. With
+	// neither there is no way to the replica at present.
 	direct, detour bool
 	// cut is set if the link counts as cut, so that peers are asked at once. A direct
 	// attempt beside that is a probe.
@@ -64,8 +65,7 @@
 	if !p.isCut(l) {
 		return plan{direct: true, detour: !now.Before(l.noDetourUntil)}
 	}
-	detour := !now.Before(l.noDetourUntil)
-	return plan{direct: p.probeLocked(l, now) || !detour, detour: detour, cut: true}
+	return plan{direct: p.probeLocked(l, now), detour: !now.Before(l.noDetourUntil), cut: true}
 }
 
 // probe reports whether a link that counts as cut is to be probed now, and counts the probe.
