relayer: [fix] a slow store does not delay the ways through other zones' peers

A daemon that was cut off asked the store for the daemons of other zones every 10 s, and all of its requests waited for that, up to 0.5 s while the store was slow or away.

Now only the first call waits; later ones use the list that is known while it is read again. TestDaemonsOfOtherZonesAreKnown fails without the change with a store of 400 ms.

--- a/internal/relayer/neighbours.go
+++ b/internal/relayer/neighbours.go
@@ -25,20 +25,55 @@
 
 // neighbours are the daemons of other zones, read only while they are needed.
 type neighbours struct {
-	mu     sync.Mutex
-	list   []assigner.Peer
-	readAt time.Time
+	mu      sync.Mutex
+	list    []assigner.Peer
+	readAt  time.Time
+	reading bool
 }
 
-// Elsewhere returns the daemons of other zones. It reads them from the store if they were not
-// read lately, and returns those that are known if the store does not answer.
-func (x *Relayer) Elsewhere(ctx context.Context) []assigner.Peer {
-	n := &x.neighbours
+// beginRead returns the known list, and whether the caller should read it now: before it
+// returns if there was no list yet.
+func (n *neighbours) beginRead(now time.Time) (list []assigner.Peer, read, first bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if time.Since(n.readAt) < neighboursPeriod {
-		return n.list
+	if n.reading || now.Sub(n.readAt) < neighboursPeriod {
+		return n.list, false, false
 	}
+	n.reading = true
+	return n.list, true, n.readAt.IsZero()
+}
+
+// endRead replaces the list. After a failure, some zones may be missing in it.
+func (n *neighbours) endRead(list []assigner.Peer, err error, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reading, n.readAt = false, now
+	if err != nil {
+		n.readAt = now.Add(probePeriod - neighboursPeriod) // Try again soon.
+	}
+	if err == nil || len(list) > len(n.list) {
+		n.list = list
+	}
+}
+
+// Elsewhere returns the daemons of other zones. Only the first call waits for the store.
+func (x *Relayer) Elsewhere(ctx context.Context) []assigner.Peer {
+	list, read, first := x.neighbours.beginRead(time.Now())
+	r := neighboursRead{x}
+	switch {
+	case read && first:
+		return r.run(ctx)
+	case read:
+		go r.run(context.WithoutCancel(ctx))
+	}
+	return list
+}
+
+// neighboursRead is one read of the daemons of other zones.
+type neighboursRead struct{ relayer *Relayer }
+
+func (r neighboursRead) run(ctx context.Context) []assigner.Peer {
+	x := r.relayer
 	ctx, cancel := context.WithTimeout(ctx, neighboursTimeout)
 	defer cancel()
 	var list []assigner.Peer
@@ -55,15 +90,11 @@
 			}
 		}
 	}
-	n.readAt = time.Now()
 	if failure != nil {
 		x.logger.Event("relayer", "other zones not read").Err(failure).End()
-		n.readAt = n.readAt.Add(probePeriod - neighboursPeriod) // Try again soon.
-	}
-	if failure == nil || len(list) > len(n.list) {
-		n.list = list
 	}
-	return n.list
+	x.neighbours.endRead(list, failure, time.Now())
+	return list
 }
 
 // OpenStream opens a connection of its own to a daemon.
