--- a/internal/forwarder/doc.go
+++ b/internal/forwarder/doc.go
@@ -8,4 +8,7 @@
 // forwarded unchanged. Events of a stream are forwarded as they arrive, but the stream of
 // a turn ends only after the store has acknowledged the turn. A Codec defines the names of
 // the headers.
+//
+// A stream that its client resumes goes on only at the service and the software version that
+// began it, or is refused.
 package forwarder
--- a/internal/relayer/doc.go
+++ b/internal/relayer/doc.go
@@ -6,4 +6,7 @@
 // calls the store directly while it is available. During an outage it sends the call
 // to a peer that still reaches the store. A daemon serves peers only with direct
 // calls, so a call is relayed at most once.
+//
+// It also opens connections of their own to daemons of this and other zones, for package
+// tunneler.
 package relayer
