--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -159,7 +159,7 @@
 	d.conns = connector.New()
 	d.tunnels = tunneler.New(o.Name, d.relayer, d.logger)
 	d.tunnelService = tunneler.NewService(d.tracker, d.conns, d.logger)
-	d.relayer.RegisterStream(tunneler.StreamKind(), d.tunnelService)
+	d.relayer.RegisterStream(tunneler.StreamKind, d.tunnelService)
 	d.isolator = isolator.Start(ctx, d.relayer, d.logger, isolator.Options{Name: o.Name, Crashed: d.hasEnded})
 	d.versions = versioner.Start(ctx, d.relayer)
 	d.forwarder = forwarder.New(forwarder.Dependencies{
@@ -301,29 +301,6 @@
 	}
 }
 
-// hasEnded reports whether the process of a replica at an address has ended. A refused
-// connection may also mean that the link is cut, so peers are asked as well.
-func (d *Daemon) hasEnded(ctx context.Context, address string) bool {
-	if !connector.Refused(ctx, address) {
-		return false
-	}
-	r := d.tracker.AtAddress(address)
-	return r == nil || d.tunnels.Ended(ctx, r)
-}
-
-// logCutOff logs when this daemon no longer reaches any replica itself, and when it does again.
-func (d *Daemon) logCutOff() {
-	since, cut := d.conns.CutOff()
-	switch {
-	case cut && d.cutOffSince.IsZero():
-		d.cutOffSince = since
-		d.logger.Event("server", "cut off from replicas").Dur("since", time.Since(since)).End()
-	case !cut && !d.cutOffSince.IsZero():
-		d.logger.Event("server", "replicas reached again").Dur("after", time.Since(d.cutOffSince)).End()
-		d.cutOffSince = time.Time{}
-	}
-}
-
 // logCounts logs the totals since the start. The names of the counts are fixed. In them, a
 // home is the coordinator of a program and a desk that of a service; "missed" counts the
 // turns and requests that fell back to this daemon. Turns opened and requests seated
--- /dev/null
+++ b/internal/server/links.go
@@ -0,0 +1,31 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"pimentorail.example/pimentorail/internal/connector"
+)
+
+// hasEnded reports whether the process of a replica at an address has ended. A refused
+// connection may also mean that the link is cut, so peers are asked as well.
+func (d *Daemon) hasEnded(ctx context.Context, address string) bool {
+	if !connector.Refused(ctx, address) {
+		return false
+	}
+	r := d.tracker.AtAddress(address)
+	return r == nil || d.tunnels.Ended(ctx, r)
+}
+
+// logCutOff logs when this daemon no longer reaches any replica itself, and when it does again.
+func (d *Daemon) logCutOff() {
+	since, cut := d.conns.CutOff()
+	switch {
+	case cut && d.cutOffSince.IsZero():
+		d.cutOffSince = since
+		d.logger.Event("server", "cut off from replicas").Dur("since", time.Since(since)).End()
+	case !cut && !d.cutOffSince.IsZero():
+		d.logger.Event("server", "replicas reached again").Dur("after", time.Since(d.cutOffSince)).End()
+		d.cutOffSince = time.Time{}
+	}
+}
--- a/internal/tunneler/header.go
+++ b/internal/tunneler/header.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 )
 
-// streamKind is the kind of the connections between daemons that carry tunnels.
-const streamKind = "tunnel"
+// StreamKind is the kind of the connections between daemons that carry tunnels.
+const StreamKind = "tunnel"
 
 // maxHeaderBytes bounds the header of a tunnel.
 const maxHeaderBytes = 1 << 10
--- a/internal/tunneler/service.go
+++ b/internal/tunneler/service.go
@@ -45,9 +45,6 @@
 	return &Service{tracker: t, links: links, logger: l, tunnels: map[*tunnel]bool{}}
 }
 
-// StreamKind returns the kind of connection under which peers reach a Service.
-func StreamKind() string { return streamKind }
-
 // Active returns the number of tunnels.
 func (s *Service) Active() int {
 	s.mu.Lock()
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -102,13 +102,13 @@
 func (t *Tunneler) open(ctx context.Context, p assigner.Peer, h header) (net.Conn, status, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	c, err := t.peers.OpenStream(ctx, p.Address, streamKind)
+	c, err := t.peers.OpenStream(ctx, p.Address, StreamKind)
 	if err != nil {
 		return nil, 0, err
 	}
 	deadline, _ := ctx.Deadline()
 	_ = c.SetDeadline(deadline)
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, interrupter{c}.run)
 	err = h.write(c)
 	var s status
 	if err == nil {
@@ -120,3 +120,8 @@
 	}
 	return c, s, c.SetDeadline(time.Time{})
 }
+
+// interrupter makes all pending reads and writes of a connection fail.
+type interrupter struct{ conn net.Conn }
+
+func (i interrupter) run() { _ = i.conn.SetDeadline(time.Unix(1, 0)) }
