--- /dev/null
+++ b/review/standin/crashes.go
@@ -0,0 +1,151 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	jobTimeout = 1500 * time.Millisecond
+	// maxRetries is how many retries of a request that has crashed three replicas may reach
+	// replicas, from the stable window after the third crash on.
+	maxRetries = 3
+	maxCrashes = 3
+)
+
+// poison marks the requests that crash the replicas that run them.
+const poison = "deadly "
+
+// addJobs adds a service whose replicas crash at a poison.
+func addJobs(w *world, replicas int, zones []string, trouble bool) {
+	for n := range replicas {
+		w.replicas = append(w.replicas, newReplica(w, replicaOptions{
+			service: "jobs", zone: zones[n%len(zones)], slots: 6,
+			pace:    func([]byte) (int, time.Duration) { return 1, 26 * time.Millisecond },
+			crashes: func(body []byte) bool { return trouble && bytes.HasPrefix(body, []byte(poison)) },
+		}))
+	}
+	w.configure(1, []map[string]any{service("jobs", false)}, []map[string]any{{
+		"name": "jobs", "hostname": host, "prefix": "/jobs/", "kind": "unsafe", "timeout_ms": 1500, "target_latency_ms": 150, "priority": 2,
+		"service": "jobs", "max_attempts": 1, "retain": false, "sticky": false, "resumable": false,
+	}})
+}
+
+// sound sends ordinary requests to the given daemons until the returned function is called.
+func sound(w *world, daemons []*daemon) (stop func()) {
+	done := make(chan struct{})
+	var requests sync.WaitGroup
+	requests.Add(1)
+	go func() {
+		defer requests.Done()
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			requests.Add(1)
+			go func() {
+				defer requests.Done()
+				w.send(daemons[n%len(daemons)], request{path: "/jobs/1", body: fmt.Sprintf("order %08x", w.random()), timeout: jobTimeout})
+			}()
+		}
+	}()
+	return func() {
+		close(done)
+		requests.Wait()
+	}
+}
+
+// retries counts, for each poison, the times at which it reached a replica after the stable
+// window that follows its third crash.
+func retries(w *world) map[string]int {
+	ran := map[string][]time.Time{}
+	for _, r := range w.arrivals() {
+		if r.ran && strings.HasPrefix(r.body, poison) {
+			ran[r.body] = append(ran[r.body], r.at)
+		}
+	}
+	counts := map[string]int{}
+	for body, times := range ran {
+		counts[body] = 0
+		for i, at := range times {
+			if i >= maxCrashes && at.After(times[maxCrashes-1].Add(stableWindow)) {
+				counts[body]++
+			}
+		}
+		w.verdict("request %q reached replicas %d times, %d of them over %v after its third crash", body, len(times), counts[body], stableWindow)
+	}
+	return counts
+}
+
+func withinRetries(counts map[string]int) bool {
+	for _, n := range counts {
+		if n > maxRetries {
+			return false
+		}
+	}
+	return true
+}
+
+// survivor loses two of three daemons for good, and then sends a request that crashes the
+// replicas again and again to the third. It checks BUDGET.
+func survivor(w *world, trouble bool) bool {
+	zones := []string{"a", "b", "c"}
+	addJobs(w, 9, zones, true)
+	for _, z := range zones {
+		w.addDaemon(z, zones)
+	}
+	w.begin()
+	stop := sound(w, w.daemons)
+	time.Sleep(2 * time.Second)
+	stop()
+	left := w.daemons
+	if trouble {
+		for _, d := range w.daemons[1:] {
+			w.note("%s is lost for good", d.node)
+			d.kill()
+		}
+		left = w.daemons[:1]
+	}
+	stop = sound(w, left)
+	time.Sleep(stableWindow + 2*time.Second)
+	for n := range 14 {
+		w.send(left[n%len(left)], request{path: "/jobs/1", body: poison + "order", timeout: jobTimeout})
+		time.Sleep(3 * time.Second)
+	}
+	stop()
+	return withinRetries(retries(w))
+}
+
+// together sends four different requests that crash replicas at the same moment, again and
+// again. It checks BUDGET.
+func together(w *world, trouble bool) bool {
+	zones := []string{"a", "b"}
+	addJobs(w, 20, zones, trouble)
+	for n := range 4 {
+		w.addDaemon(zones[n%2], zones)
+	}
+	w.begin()
+	stop := sound(w, w.daemons)
+	time.Sleep(2 * time.Second)
+	for range 10 {
+		var batch sync.WaitGroup
+		for n := range 4 {
+			batch.Add(1)
+			go func() {
+				defer batch.Done()
+				w.send(w.daemons[w.pick(len(w.daemons), 1)[0]], request{path: "/jobs/1", body: fmt.Sprintf("%sorder %d", poison, n), timeout: jobTimeout})
+			}()
+		}
+		batch.Wait()
+		time.Sleep(4 * time.Second)
+	}
+	stop()
+	return withinRetries(retries(w))
+}
