--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -27,6 +27,10 @@
 	turn    bool
 	budget  int
 	tokens  int
+	// resumes is the id of the attempt that brought the first event, and last the id of the
+	// last event, of a stream that is taken up.
+	resumes string
+	last    int
 }
 
 // answer is what the client saw of one attempt.
@@ -38,6 +42,8 @@
 	whole bool
 	body  string
 	err   error
+	// comeBack is the time of Retry-After.
+	comeBack time.Duration
 }
 
 func (a answer) String() string {
@@ -67,6 +73,9 @@
 	if q.turn {
 		fmt.Fprintf(&b, "Pimentorail-Model: m\r\nPimentorail-Token-Budget: %d\r\nPimentorail-Token-Count: %d,%d\r\n", q.budget, len(q.body), q.tokens)
 	}
+	if q.resumes != "" {
+		fmt.Fprintf(&b, "Last-Event-Id: %d\r\nResumes: %s\r\n", q.last, q.resumes)
+	}
 	if q.parent != "" {
 		fmt.Fprintf(&b, "Pimentorail-Previous-Turn: %s\r\n", q.parent)
 	}
@@ -89,7 +98,7 @@
 		w.note("request %s: %s", a.id, bytes.TrimSpace(body))
 	}
 	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
-		w.note("request %s: come back after %.2f s", a.id, after)
+		a.comeBack = time.Duration(after * float64(time.Second))
 	}
 	return a
 }
--- a/review/standin/crashes.go
+++ b/review/standin/crashes.go
@@ -65,21 +65,25 @@
 // retries counts, for each poison, the times at which it reached a replica after the stable
 // window that follows its third crash.
 func retries(w *world) map[string]int {
-	ran := map[string][]time.Time{}
+	crashes, counts, reached := map[string]int{}, map[string]int{}, map[string]int{}
+	third := map[string]time.Time{}
 	for _, r := range w.arrivals() {
-		if r.ran && strings.HasPrefix(r.body, poison) {
-			ran[r.body] = append(ran[r.body], r.at)
+		if !strings.HasPrefix(r.body, poison) {
+			continue
 		}
-	}
-	counts := map[string]int{}
-	for body, times := range ran {
-		counts[body] = 0
-		for i, at := range times {
-			if i >= maxCrashes && at.After(times[maxCrashes-1].Add(stableWindow)) {
-				counts[body]++
-			}
+		reached[r.body]++
+		if at, ok := third[r.body]; ok && r.at.After(at.Add(stableWindow)) {
+			counts[r.body]++
+		}
+		if r.crashed {
+			crashes[r.body]++
 		}
-		w.verdict("request %q reached replicas %d times, %d of them over %v after its third crash", body, len(times), counts[body], stableWindow)
+		if r.crashed && crashes[r.body] == maxCrashes {
+			third[r.body] = r.at
+		}
+	}
+	for body, n := range reached {
+		w.verdict("request %q reached replicas %d times and crashed %d; %d times over %v after its third crash", body, n, crashes[body], counts[body], stableWindow)
 	}
 	return counts
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 	"condemned": condemned,
 	"survivor":  survivor,
 	"together":  together,
+	"versions":  versions,
 }
 
 func main() {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -40,6 +39,8 @@
 	// pace returns the number of events of an answer and the pause between two, for a model
 	// engine, or the time of the work.
 	pace func(body []byte) (events int, gap time.Duration)
+	// keepsID is set if the replica starts again under the id that it had.
+	keepsID bool
 }
 
 // replica is a stand-in for a replica of a service. Each start is a lifetime with its own id.
@@ -55,7 +56,9 @@
 	running  int
 	waiting  int
 	lifetime int
-	slots    chan struct{}
+	// version is the version of the software that the next lifetime has.
+	version int
+	slots   chan struct{}
 }
 
 // run is one request that a replica began to run, or refused.
@@ -66,12 +69,14 @@
 	parent   string
 	body     string
 	ran      bool
+	// crashed is set if the run ended the process of the replica.
+	crashed bool
 }
 
 func newReplica(w *world, o replicaOptions) *replica {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	w.must(err)
-	r := &replica{world: w, options: o, address: l.Addr().String()}
+	r := &replica{world: w, options: o, address: l.Addr().String(), version: 1}
 	r.begin(l)
 	return r
 }
@@ -81,12 +86,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lifetime++
-	r.id = fmt.Sprintf("i-%08x", r.world.random())
+	if r.id == "" || !r.options.keepsID {
+		r.id = fmt.Sprintf("i-%08x", r.world.random())
+	}
 	r.conns, r.running, r.waiting, r.slots = map[net.Conn]bool{}, 0, 0, make(chan struct{}, r.options.slots)
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ConnState: r.track}
 	go func(s *http.Server) { _ = s.Serve(l) }(r.server)
 	r.world.store.put("servers", r.id, map[string]any{
-		"service": r.options.service, "address": r.address, "zone": r.options.zone, "version": "v1", "slots": r.options.slots,
+		"service": r.options.service, "address": r.address, "zone": r.options.zone, "version": fmt.Sprintf("v%d", r.version), "slots": r.options.slots,
 		"state": "ready", "cold_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	})
 }
@@ -101,6 +108,13 @@
 	}
 }
 
+// upgrade gives the lifetimes from the next one on another version of the software.
+func (r *replica) upgrade() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+}
+
 // crash ends the process: all of its channels are reset and nothing listens at its address. It
 // is back after the given time, with a new id; its row goes after three intervals of silence.
 func (r *replica) crash(back time.Duration) {
@@ -119,7 +133,9 @@
 	r.mu.Unlock()
 	r.world.note("replica %s crashes", id)
 	_ = server.Close()
-	time.AfterFunc(3*beatInterval, func() { r.world.store.drop("servers", id) })
+	if !r.options.keepsID {
+		time.AfterFunc(3*beatInterval, func() { r.world.store.drop("servers", id) })
+	}
 	time.AfterFunc(back, func() {
 		l, err := net.Listen("tcp", r.address)
 		if err != nil {
@@ -139,7 +155,7 @@
 
 func (r *replica) serve(w http.ResponseWriter, q *http.Request) {
 	r.mu.Lock()
-	id, lifetime, server, slots := r.id, r.lifetime, r.server, r.slots
+	id, lifetime, server, slots, version := r.id, r.lifetime, r.server, r.slots, r.version
 	h := w.Header()
 	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d", r.running, r.waiting, r.options.slots))
 	full := r.waiting >= queueLength
@@ -179,10 +195,10 @@
 	r.count(&r.waiting, lifetime, -1)
 	r.count(&r.running, lifetime, 1)
 	defer r.count(&r.running, lifetime, -1)
-	seen.ran = true
+	seen.ran, seen.crashed = true, r.options.crashes != nil && r.options.crashes(body)
 	r.world.addRun(seen)
 	h.Set(headerStamp, fmt.Sprintf("%s.%s", id, seen.id))
-	if r.options.crashes != nil && r.options.crashes(body) {
+	if seen.crashed {
 		time.Sleep(20 * time.Millisecond)
 		r.crash(r.world.crashBack)
 		<-ctx.Done()
@@ -198,11 +214,12 @@
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
-	for n := 1; n <= events; n++ {
+	last, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	for n := last + 1; n <= events; n++ {
 		if wait(ctx, gap); ctx.Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("w", 27)); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: v%d %s\n\n", n, version, id); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
