--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -108,25 +108,26 @@
 	return append([]run(nil), w.runs...)
 }
 
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
+// freePorts returns different ports that are free at an address.
+func freePorts(ip string, n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // addDaemon adds a machine with its own loopback address.
 func (w *world) addDaemon(zone string, zones []string) *daemon {
 	n := len(w.daemons) + 1
 	d := &daemon{world: w, node: fmt.Sprintf("front-%s-%d", zone, n), zone: zone, ip: fmt.Sprintf("127.0.7.%d", n)}
-	var ports [3]int
-	for i := range ports {
-		port, err := freePort(d.ip)
-		w.must(err)
-		ports[i] = port
-	}
+	ports, err := freePorts(d.ip, 3)
+	w.must(err)
 	d.front, d.ready = fmt.Sprintf("%s:%d", d.ip, ports[0]), fmt.Sprintf("%s:%d", d.ip, ports[1])
 	lines := []string{
 		"node=" + d.node, "role=daemon", "machine_class=front", "serves=front", "ip=" + d.ip, "zone=" + zone, "region=r",
