--- a/review/standin/main.go
+++ b/review/platform/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command standin runs a case of the review: it starts daemons of `pimentorail serve` before
+// Command platform runs a case of the review: it starts daemons of `pimentorail serve` before
 // a stand-in store, stand-in replicas and clients, and checks one rule.
 package main
 
