versioner: [test] make the test of a short outage independent of random backoffs

A partition whose attempts fell on lost replies several times in a row was not done after the 2 s for which the test waits, though records are tried for 5 s and none was lost.

The test's store now loses every second reply of each partition. A batch then needs exactly two attempts, so that two batches are acknowledged 1.3 s after the store's return at the latest, whatever the jitter. The share of lost replies, the outage of 1 s and the wait of 2 s are the same. In addition all 40 records must count as recorded and none as dropped.

--- a/internal/versioner/versioner_test.go
+++ b/internal/versioner/versioner_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"os"
+	"path"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"pimentorail.example/pimentorail/internal/emulator"
 	"pimentorail.example/pimentorail/internal/seeder"
@@ -100,9 +103,42 @@
 	})
 }
 
-// Records were lost when the store was away for a second or lost its replies.
+// lossyTable is a store that loses the reply to every second commit of each partition, after
+// the commit took effect. Each batch of records thus needs exactly two replies of the store.
+type lossyTable struct {
+	*emulator.Store
+
+	mu      sync.Mutex
+	commits map[string]int
+}
+
+// Commit implements storer.Table.
+func (l *lossyTable) Commit(ctx context.Context, tx storer.Transaction) (uint64, error) {
+	version, err := l.Store.Commit(ctx, tx)
+	if err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	partition := path.Dir(tx.Writes[0].Key)
+	l.commits[partition]++
+	if l.commits[partition]%2 == 1 {
+		return 0, errors.Wrap(storer.ErrUnavailable, "reply lost")
+	}
+	return version, nil
+}
+
+// Records were lost when the store was away for a second or lost its replies. The longest
+// backoff is 0.6 s, so that a partition's two batches are acknowledged 1.3 s after the store's
+// return, whatever the jitter.
 func TestRecordsSurviveAShortOutage(t *testing.T) {
-	run(t, func(ctx context.Context, is *is.I, s *emulator.Store, v *versioner.Versioner) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		s := &lossyTable{Store: emulator.NewStore(), commits: map[string]int{}}
+		v := versioner.Start(ctx, s)
 		s.SetFaults(emulator.StoreFaults{Down: true})
 		for i := range 40 {
 			v.Record(stream(i), origin(i))
@@ -110,8 +146,10 @@
 		time.Sleep(time.Second)
 		_, _, err := v.Find(ctx, stream(0))
 		is.True(err != nil) // Whether there is a record is not known.
-		s.SetFaults(emulator.StoreFaults{LoseEvery: 2})
+		s.SetFaults(emulator.StoreFaults{})
 		time.Sleep(2 * time.Second)
+		recorded, dropped := v.Counts()
+		is.Equal([]int64{recorded, dropped}, []int64{40, 0})
 		for i := range 40 {
 			o, found, err := v.Find(ctx, stream(i))
 			is.NoErr(err)
