tracker: [fix] take a row of another version without a start time for another instance

A registry row may lack its start time. A replica that was back under its id and address with another version then counted as the same instance, and its rows were ignored as older until their sequence was as high as that of the earlier process. Streams were resumed and recorded there under the earlier version, for up to minutes.

Without start times two rows of different versions now describe two instances, and the one that is read later counts. The instance's name stays as it is, since it is sent to daemons of the previous build. Rows with a start time are judged as before.

--- a/internal/tracker/replica.go
+++ b/internal/tracker/replica.go
@@ -28,9 +28,16 @@
 // accepted the row.
 func (r *Replica) Instance() string { return r.instance }
 
-// SameInstance reports whether two rows describe the same instance.
+// SameInstance reports whether two rows describe the same instance. Without start times, rows
+// of two versions do not.
 func (r *Replica) SameInstance(o *Replica) bool {
-	return r.ID == o.ID && r.StartedMS == o.StartedMS && r.Address == o.Address && r.Service == o.Service
+	return r.ID == o.ID && r.StartedMS == o.StartedMS && r.Address == o.Address && r.Service == o.Service && !r.otherVersion(o)
+}
+
+// otherVersion reports whether two rows without start times have different versions. Sequences
+// begin anew with each process, so they do not tell which row was written first.
+func (r *Replica) otherVersion(o *Replica) bool {
+	return r.StartedMS == 0 && o.StartedMS == 0 && r.Version != o.Version
 }
 
 // Older reports whether r was written before o, another row of the same id.
@@ -38,7 +45,7 @@
 	if r.StartedMS != o.StartedMS {
 		return r.StartedMS < o.StartedMS
 	}
-	return r.Sequence < o.Sequence
+	return r.Sequence < o.Sequence && !r.otherVersion(o)
 }
 
 // setInstance sets the name of the instance and returns the replica.
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -166,3 +166,24 @@
 	k.Update(removed("a"), at(2))
 	is.Equal(k.Len(), 1)
 }
+
+// A replica whose rows have no start time kept the version of its earlier process until the
+// sequence of its rows was as high again.
+func TestAVersionWithoutAStartTimeIsTaken(t *testing.T) {
+	is := is.New(t)
+	tr := tracker.New(tracker.Options{})
+	for i, row := range []struct {
+		version  string
+		sequence int64
+		kind     string
+	}{{"v1", 40, "added"}, {"v2", 1, "changed"}, {"v2", 2, ""}, {"v2", 1, ""}} {
+		r := replica("a")
+		r.StartedMS, r.Sequence, r.Version = 0, row.sequence, row.version
+		changes := tr.Update(written(r), at(float64(i)))
+		is.Equal(len(changes) > 0, row.kind != "")
+		if len(changes) > 0 {
+			is.Equal(changes[0].Kind, row.kind)
+		}
+		is.Equal(tr.Find("a").Version, row.version)
+	}
+}
