forwarder: [fix] resume and record streams only at the process that the registry row describes

Clients saw streams with events of two versions: replicas crashed and were back under their id and address with another version, and streams that were resumed went on there.

Cause: the row of the earlier process stays in the tracker until the registry is read again, every 0.7 s, and the request names the replica's id alone, so that the new process accepted it. Streams that began there were recorded under the earlier version.

Change: tracker.confirmation decides, without clock or socket, which connections lead to the process of a row. One that was opened 0.3 s or more before a read of the registry began which still shows the row is taken to (Owns); one that was opened before the process wrote a later row certainly does (Outlived). The connector reports the end of a process: a direct connection that broke off or was reset, an idle one that was closed before the timeout that the replica named, or a direct dial that was refused while the link does not count as cut. From then on reads prove nothing until two reads that began later show a higher sequence; the first alone may show a row of before the end. The asking daemon tells the coordinator with the end of the request (Report.ProcessEnded), and sends the unconfirmed instances as tried ones, which a coordinator of the previous build understands.

A stream is resumed at confirmed instances, on a connection that the process has outlived. Other connections are used only after the replica has named its start time there, in its report (GET /-/report); if the report names none, after a later read of the registry. Unconfirmed instances are asked only if the version has no others. The record of where a stream begins waits up to 4 s for a later read; the first event does not wait, and no call is made for it. All other requests are placed and sent as before.

--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -32,6 +32,9 @@
 	Deadline time.Time
 	// Fresh excludes connections that have been idle for more than maxFreshIdle.
 	Fresh bool
+	// Process tells which connections lead to the process that the call is for. A connection to
+	// another process is not used; nil accepts any.
+	Process Process
 	// Matches reports whether a response belongs to this request; nil accepts any.
 	Matches func(r *http.Response) bool
 }
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -26,10 +26,15 @@
 	// bytes that may still be read for it. A replica in trouble may send bytes without end.
 	inHead   bool
 	headLeft int
+	// openedAt is a time at which the connection was open already.
+	openedAt time.Time
 	// lastUsed is when the last exchange ended, and idleTimeout how long the connection
-	// may be idle after that.
+	// may be idle after that; idleNamed is set if the replica named its own idle timeout.
 	lastUsed    time.Time
 	idleTimeout time.Duration
+	idleNamed   bool
+	// brokenOff is set if the replica closed the connection while it was idle.
+	brokenOff bool
 }
 
 // beginHead limits the bytes that are read until endHead is called.
@@ -61,7 +66,8 @@
 	return !ok || r.Reusable()
 }
 
-// healthy reports whether an idle connection is still open and has no unread bytes.
+// healthy reports whether an idle connection is still open and has no unread bytes. A replica
+// that did not name its idle timeout may close a connection as planned.
 func (c *conn) healthy() bool {
 	if c.reader.Buffered() > 0 {
 		return false
@@ -77,8 +83,9 @@
 	healthy := false
 	var b [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		healthy = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		c.brokenOff = err == syscall.ECONNRESET || err == nil && n <= 0 && c.idleNamed
 		return true
 	})
 	return err == nil && healthy
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -49,6 +49,8 @@
 	Dialed, Reused, Failed, Foreign int64
 	// Detoured is the number of connections that were opened through peers.
 	Detoured int64
+	// Identified is the number of reports that replicas were asked for.
+	Identified int64
 }
 
 // Connector opens connections to replicas and pools the idle ones.
@@ -59,7 +61,10 @@
 	mu    sync.Mutex
 	pools map[string]*pool
 
-	dialed, reused, failed, foreign, detoured atomic.Int64
+	// onEnd is called when the process of an instance is seen to end; it may be nil.
+	onEnd func(instance string)
+
+	dialed, reused, failed, foreign, detoured, identified atomic.Int64
 }
 
 // New returns a connector without connections.
@@ -71,7 +76,7 @@
 
 // Counts returns the current counters.
 func (c *Connector) Counts() Counts {
-	return Counts{c.dialed.Load(), c.reused.Load(), c.failed.Load(), c.foreign.Load(), c.detoured.Load()}
+	return Counts{c.dialed.Load(), c.reused.Load(), c.failed.Load(), c.foreign.Load(), c.detoured.Load(), c.identified.Load()}
 }
 
 // Close closes the idle connections.
@@ -121,7 +126,7 @@
 	c.mu.Lock()
 	p := c.pool(q.Instance)
 	p.lastUsed = now
-	x, stale := p.take(now, maxIdle, detoured)
+	x, stale := p.take(now, maxIdle, detoured, q.Process)
 	p.open -= len(stale)
 	full := x == nil && q.Limit > 0 && p.open >= q.Limit
 	if x == nil && !full {
@@ -129,6 +134,9 @@
 	}
 	c.mu.Unlock()
 	for _, s := range stale {
+		if s.brokenOff && !s.detoured {
+			c.sawEnd(q.Instance)
+		}
 		_ = s.Close()
 	}
 	switch {
@@ -180,6 +188,7 @@
 // DialDirectly opens a connection to a replica for a peer.
 func (c *Connector) DialDirectly(ctx context.Context, instance, address string) (net.Conn, error) {
 	n, err := c.dialer.DialContext(ctx, "tcp", address)
+	c.sawDial(instance, err)
 	if err == nil {
 		c.paths.reached(instance, time.Now())
 	}
--- a/internal/connector/dial.go
+++ b/internal/connector/dial.go
@@ -121,6 +121,7 @@
 	c := d.connector
 	c.dialed.Add(1)
 	n, err := c.dialer.Dial("tcp", d.call.Address)
+	c.sawDial(d.call.Instance, err)
 	if err == nil {
 		c.paths.reached(d.call.Instance, time.Now())
 	}
@@ -181,7 +182,7 @@
 
 // newConn returns a connection without exchanges.
 func newConn(n net.Conn, detoured bool) *conn {
-	x := &conn{Conn: n, detoured: detoured, idleTimeout: defaultIdleTimeout}
+	x := &conn{Conn: n, detoured: detoured, openedAt: time.Now(), idleTimeout: defaultIdleTimeout}
 	x.reader = bufio.NewReaderSize(x, readBufferBytes)
 	return x
 }
--- a/internal/connector/doc.go
+++ b/internal/connector/doc.go
@@ -9,4 +9,9 @@
 // connection is then opened through a peer, if the Call has a Detour. What attempts showed of
 // the links decides which way is tried (paths); a replica that is silent while a request
 // waits has its link checked.
+//
+// A connection does not survive the end of its process, but the next process at the address
+// accepts connections as well. A Call with a Process is sent only on a connection that is known
+// to lead to that process, if need be after the replica was asked on it. A direct connection
+// that breaks off, and a direct dial that is refused, are reported as the end of the process.
 package connector
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -48,9 +48,11 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	_ = x.SetDeadline(q.Deadline)
-	e := &Exchange{connector: c, instance: q.Instance, limit: q.Limit, conn: x, written: make(chan error, 1)}
-	e.stopInterrupt = context.AfterFunc(ctx, e.interrupt)
+	if err := c.ensureProcess(ctx, q, x); err != nil {
+		c.failed.Add(1)
+		return nil, &Error{Cause: err}
+	}
+	e := c.newExchange(ctx, q, x, q.Deadline)
 	if err := ctx.Err(); err != nil {
 		e.Close()
 		return nil, &Error{Cause: err}
@@ -63,12 +65,24 @@
 	}
 	if err != nil {
 		c.failed.Add(1)
+		_ = e.observe(err)
 		e.Close()
 		return nil, &Error{Sent: sent, Cause: err}
 	}
 	return e, nil
 }
 
+// newExchange returns an exchange on a connection, without its request.
+func (c *Connector) newExchange(ctx context.Context, q *Call, x *conn, deadline time.Time) *Exchange {
+	_ = x.SetDeadline(deadline)
+	e := &Exchange{connector: c, instance: q.Instance, limit: q.Limit, conn: x, written: make(chan error, 1)}
+	e.stopInterrupt = context.AfterFunc(ctx, e.interrupt)
+	return e
+}
+
+// OpenedAt returns a time at which the connection was open already.
+func (e *Exchange) OpenedAt() time.Time { return e.conn.openedAt }
+
 // Via returns the name of the peer that the connection leads through, and what the peer calls
 // it; both are empty for a direct connection.
 func (e *Exchange) Via() (peer, name string) {
@@ -160,8 +174,9 @@
 	n, err := e.Response.Body.Read(p)
 	if err == io.EOF {
 		e.complete = true
+		return n, err
 	}
-	return n, err
+	return n, e.observe(err)
 }
 
 // Discard reads and drops the rest of the body, so that the connection can be reused. It
@@ -181,13 +196,18 @@
 		return
 	}
 	e.closed = true
+	e.connector.put(e.instance, e.conn, e.limit, e.finish())
+}
+
+// finish ends the exchange, and reports whether its connection can be used again.
+func (e *Exchange) finish() bool {
 	uninterrupted := e.stopInterrupt()
 	reusable := uninterrupted && e.complete && !e.Response.Close && e.conn.reader.Buffered() == 0 && e.fullySent()
 	if reusable {
-		e.conn.idleTimeout = keepAliveTimeout(e.Response.Header.Get("Keep-Alive"))
+		e.conn.idleTimeout, e.conn.idleNamed = keepAliveTimeout(e.Response.Header.Get("Keep-Alive"))
 		reusable = e.conn.idleTimeout > 0
 	}
-	e.connector.put(e.instance, e.conn, e.limit, reusable)
+	return reusable
 }
 
 // fullySent reports whether the whole request has been written.
@@ -201,18 +221,18 @@
 }
 
 // keepAliveTimeout returns the idle timeout of a connection according to the Keep-Alive
-// header of its last response.
-func keepAliveTimeout(header string) time.Duration {
+// header of its last response, and whether that names one.
+func keepAliveTimeout(header string) (timeout time.Duration, named bool) {
 	for _, f := range strings.Split(header, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(f), "=")
 		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
 		if s, err := strconv.Atoi(value); err == nil {
-			return time.Duration(s)*time.Second - idleMargin
+			return time.Duration(s)*time.Second - idleMargin, true
 		}
 	}
-	return defaultIdleTimeout
+	return defaultIdleTimeout, false
 }
 
 // appendHead appends the request line and the header to b.
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -19,10 +19,13 @@
 }
 
 // take removes and returns the most recently used idle connection, or nil if none is
-// healthy, idle for less than maxIdle, and detoured or not as asked. The caller must close the
-// stale ones.
-func (p *pool) take(now time.Time, maxIdle time.Duration, detoured bool) (found *conn, stale []*conn) {
+// healthy, idle for less than maxIdle, and detoured or not as asked. Connections that are known
+// to lead to a process come first, unless that is nil. The caller must close the stale ones.
+func (p *pool) take(now time.Time, maxIdle time.Duration, detoured bool, owner Process) (found *conn, stale []*conn) {
 	for len(p.idle) > 0 {
+		if owner != nil {
+			p.prefer(owner)
+		}
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		if now.Sub(c.lastUsed) < min(c.idleTimeout, maxIdle) && c.detoured == detoured && c.healthy() {
@@ -32,3 +35,14 @@
 	}
 	return nil, stale
 }
+
+// prefer moves the most recently used connection that is known to lead to a process to the end
+// of the idle ones, where it is taken next.
+func (p *pool) prefer(owner Process) {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; owner.Owns(c.openedAt) {
+			p.idle = append(append(p.idle[:i], p.idle[i+1:]...), c)
+			return
+		}
+	}
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,7 +12,6 @@
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/selector"
-	"pimentorail.example/pimentorail/internal/tracker"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
@@ -127,7 +126,7 @@
 	var a ResponseMetadata
 	e, err := f.conns.Do(ctx, &connector.Call{
 		Instance: c.Instance, Address: c.Replica.Address, Method: q.Method, Target: q.Target, Host: q.Host,
-		Header: f.codec.EncodeRequest(q, meta), Body: body, Deadline: j.deadline, Limit: f.connectionLimit(j.service), Fresh: !j.route.Repeatable(), Detour: f.detour(c.Replica),
+		Header: f.codec.EncodeRequest(q, meta), Body: body, Deadline: j.deadline, Limit: f.connectionLimit(j.service), Fresh: !j.route.Repeatable(), Detour: f.detour(c.Replica), Process: f.processOf(j, c),
 		Matches: func(r *http.Response) bool {
 			a = f.codec.DecodeResponse(r.StatusCode, r.Header)
 			if a.Leaving && !a.Misdirected && c.ReportLeaving() {
@@ -156,7 +155,7 @@
 		f.discard(e)
 		return refused
 	case isStream(e.Response) && j.route.Kind == cataloger.Streaming:
-		return f.forwardStream(ctx, w, j, c.Replica, e)
+		return f.forwardStream(ctx, w, j, c, e)
 	}
 	return f.forwardBody(ctx, w, j, e)
 }
@@ -167,6 +166,9 @@
 	if errors.Is(err, connector.ErrConnectionLimit) {
 		return refused
 	}
+	if errors.Is(err, connector.ErrUnidentified) {
+		return unidentified
+	}
 	var e *connector.Error
 	if errors.As(err, &e) && !e.Sent {
 		return unsent
@@ -235,7 +237,7 @@
 
 // forwardStream forwards events as they arrive and ends the client's stream only after
 // the turn is persisted.
-func (f *Forwarder) forwardStream(ctx context.Context, w http.ResponseWriter, j *job, r *tracker.Replica, e *connector.Exchange) result {
+func (f *Forwarder) forwardStream(ctx context.Context, w http.ResponseWriter, j *job, c *selector.Choice, e *connector.Exchange) result {
 	// With a Content-Length the client would see the end of the response before the turn is
 	// persisted; chunked encoding marks the end explicitly.
 	e.Response.Header.Del("Content-Length")
@@ -255,7 +257,7 @@
 		}
 		if !j.responseStarted {
 			j.firstAfter = time.Since(j.request.Arrived)
-			f.recordOrigin(j, r)
+			f.recordOrigin(j, c, e.OpenedAt())
 			f.writeHead(w, j, e.Response)
 		}
 		j.turn.addEvent(ev, j.service.EventTokens)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -62,6 +62,8 @@
 	Connector *connector.Connector
 	// Tunnels lead to replicas whose links are cut; nil for none.
 	Tunnels *tunneler.Tunneler
+	// Reports reads the reports of replicas; nil if they have none.
+	Reports Reports
 	Logger  *logger.Logger
 	Scope   tally.Scope
 	Codec   Codec
@@ -80,7 +82,10 @@
 	conns      *connector.Connector
 	tunnels    *tunneler.Tunneler
 	meter      *meter
+	reports    Reports
 	active     atomic.Int64
+	// awaitedOrigins is the number of records that wait.
+	awaitedOrigins atomic.Int64
 	// shutdown is nil unless a planned stop has begun.
 	shutdown atomic.Pointer[shutdown]
 }
@@ -89,7 +94,7 @@
 func New(d Dependencies, o Options) *Forwarder {
 	return &Forwarder{
 		options: o, catalog: d.Catalog, placements: d.Placements, programs: d.Programs, isolator: d.Isolator, versions: d.Versions,
-		logger: d.Logger, codec: d.Codec, conns: d.Connector, tunnels: d.Tunnels, meter: newMeter(d.Scope),
+		logger: d.Logger, codec: d.Codec, conns: d.Connector, tunnels: d.Tunnels, reports: d.Reports, meter: newMeter(d.Scope),
 	}
 }
 
--- a/internal/forwarder/result.go
+++ b/internal/forwarder/result.go
@@ -23,12 +23,15 @@
 	truncated
 	// canceled means that the client disconnected or the deadline passed.
 	canceled
+	// unidentified means that no byte of the request was sent, since it is not known which
+	// process the connection leads to.
+	unidentified
 )
 
 // resultNames are the names of the results, in the order of the constants. Some differ from
 // the constants: elsewhere is misdirected, broken is ambiguous, cut is truncated and left
 // is canceled. Logs and metrics keep these names.
-var resultNames = [...]string{"answered", "unsent", "refused", "elsewhere", "broken", "cut", "left"}
+var resultNames = [...]string{"answered", "unsent", "refused", "elsewhere", "broken", "cut", "left", "unidentified"}
 
 // String returns the result's name as used in logs and metrics.
 func (r result) String() string { return resultNames[r] }
--- a/internal/forwarder/resumption.go
+++ b/internal/forwarder/resumption.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"pimentorail.example/pimentorail/internal/cataloger"
-	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/versioner"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
@@ -59,9 +60,22 @@
 	return classifier.New(classifier.CannotResume, classifier.RanNo, "no replica of service %q has version %q, at which the stream of request %q began", s, v, j.request.Resumes)
 }
 
-// recordOrigin records where a stream begins, before its first event is forwarded.
-func (f *Forwarder) recordOrigin(j *job, r *tracker.Replica) {
-	if j.route.Resumable && !j.resumes() && r.Version != "" {
-		f.versions.Record(j.request.stream(j.request.ID), versioner.Origin{Service: r.Service, Version: r.Version})
+// recordOrigin records where a stream begins, before its first event is forwarded. The row of
+// its replica may be that of an earlier process than the one that sent the event. If the
+// connection, opened at a time, does not show that, the record waits, and the event does not.
+func (f *Forwarder) recordOrigin(j *job, c *selector.Choice, opened time.Time) {
+	r := c.Replica
+	if !j.route.Resumable || j.resumes() || r.Version == "" {
+		return
 	}
+	stream, origin := j.request.stream(j.request.ID), versioner.Origin{Service: r.Service, Version: r.Version}
+	if c.Owns(opened) {
+		f.versions.Record(stream, origin)
+		return
+	}
+	if f.awaitedOrigins.Add(1) > maxAwaitedOrigins {
+		f.awaitedOrigins.Add(-1)
+		return
+	}
+	go (&awaitedOrigin{forwarder: f, choice: c, opened: opened, stream: stream, origin: origin}).run()
 }
--- a/internal/selector/choice.go
+++ b/internal/selector/choice.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"context"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/assigner"
@@ -52,6 +53,30 @@
 // IsEnding reports whether the replica has announced its end, in a response or in its row.
 func (c *Choice) IsEnding() bool { return c.selector.views.tracker.IsEnding(c.Replica) }
 
+// Owns reports whether a connection to the replica, opened at a time, is known to lead to the
+// process of the instance that was chosen.
+func (c *Choice) Owns(opened time.Time) bool { return c.selector.views.tracker.Owns(c.Replica, opened) }
+
+// Outlived reports whether the chosen instance is certain to have lived after a connection to the
+// replica was opened.
+func (c *Choice) Outlived(opened time.Time) bool {
+	return c.selector.views.tracker.Outlived(c.Replica, opened)
+}
+
+// Confirmed reports whether the process of the instance was not seen to end.
+func (c *Choice) Confirmed() bool {
+	return !c.selector.views.tracker.SawEndSince(c.Replica, time.Time{})
+}
+
+// Identified records that the replica named the start time of the chosen instance on a
+// connection that was opened at a time.
+func (c *Choice) Identified(opened time.Time) { c.selector.views.tracker.Identified(c.Replica, opened) }
+
+// AwaitOwned waits until Owns is true or the context ends, and returns Owns.
+func (c *Choice) AwaitOwned(ctx context.Context, opened time.Time) bool {
+	return c.selector.views.tracker.AwaitOwned(ctx, c.Replica, opened)
+}
+
 // ReportLeaving records that the replica announced its end, and reports it to the
 // coordinator if that chose the replica. It returns true for the first announcement.
 func (c *Choice) ReportLeaving() bool {
@@ -63,10 +88,15 @@
 }
 
 // End records the end of the request, and reports it to the coordinator if that chose
-// the replica.
+// the replica, with the end of the replica's process if that was seen meanwhile.
 func (c *Choice) End(outcome Outcome) {
 	c.selector.views.end(c.Instance, c.suspicion, outcome)
 	if c.id != "" {
-		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Ended: true, Outcome: outcome})
+		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Ended: true, Outcome: outcome, ProcessEnded: c.sawEnd()})
 	}
 }
+
+// sawEnd reports whether the process of the instance was seen to end after it was chosen.
+func (c *Choice) sawEnd() bool {
+	return c.Replica != nil && c.selector.views.tracker.SawEndSince(c.Replica, c.chosenAt)
+}
--- a/internal/selector/coordinator.go
+++ b/internal/selector/coordinator.go
@@ -72,6 +72,8 @@
 	// Limited is set if Limit is the limit that the replica named, zero for none.
 	Limited bool
 	Limit   float64
+	// ProcessEnded is set if the replica's process was seen to end.
+	ProcessEnded bool
 }
 
 // ReportRequest carries reports in the order in which they were made.
@@ -102,7 +104,8 @@
 	for instance, limit := range q.Limits {
 		s.views.limits.learn(instance, limit, time.Now())
 	}
-	placement, replica, err := s.views.choose(q.demand(), s.scope(q.Service.Name))
+	d, _ := s.confirmed(q.demand())
+	placement, replica, err := s.views.choose(d, s.scope(q.Service.Name))
 	var busy *BusyError
 	if errors.As(err, &busy) {
 		r.Busy, r.RetryAfter, r.Reason = true, busy.after, busy.reason
@@ -135,6 +138,9 @@
 		if p.Loaded {
 			s.views.reportLoad(instance, p.Load)
 		}
+		if p.ProcessEnded && s.views.tracker.SawEnd(instance, time.Now()) {
+			s.logger.Event("seater", "replica ended").Str("instance", instance).Str("placement", p.ID).End()
+		}
 		if p.Ended {
 			s.views.end(instance, placed.suspicion, p.Outcome)
 		}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 
 	"pimentorail.example/pimentorail/internal/assigner"
@@ -157,13 +159,14 @@
 
 // choose is Choose without the wait.
 func (s *Selector) choose(ctx context.Context, q Request) (*Choice, error) {
+	d, excluded := s.confirmed(q.demand())
 	for range maxCoordinators {
 		coordinator, ok := s.coordinators.Of(q.Service.Name)
 		if !ok {
 			break
 		}
 		s.asked.Add(1)
-		c, err := s.askCoordinator(ctx, coordinator, q)
+		c, err := s.askCoordinator(ctx, coordinator, q, d.tried)
 		if c != nil || err != nil {
 			return c, err
 		}
@@ -172,13 +175,36 @@
 			break
 		}
 	}
-	placement, replica, err := s.views.choose(q.demand(), s.scope(q.Service.Name))
+	placement, replica, err := s.views.choose(d, s.scope(q.Service.Name))
+	if errors.Is(err, ErrNoReplica) && excluded {
+		// A replica whose end was seen in error can tell so itself.
+		placement, replica, err = s.views.choose(q.demand(), s.scope(q.Service.Name))
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &Choice{Placement: placement, Replica: replica, selector: s, chosenAt: time.Now(), suspicion: q.Suspicion}, nil
 }
 
+// confirmed excludes the instances whose process was seen to end if the request must go to a
+// version, and reports whether it excluded any. The next process may have another version.
+func (s *Selector) confirmed(d demand) (demand, bool) {
+	if d.version == "" {
+		return d, false
+	}
+	list := s.views.tracker.Unconfirmed(d.service.Name)
+	if len(list) == 0 {
+		return d, false
+	}
+	tried := make(map[string]bool, len(d.tried)+len(list))
+	maps.Copy(tried, d.tried)
+	for _, instance := range list {
+		tried[instance] = true
+	}
+	d.tried = tried
+	return d, true
+}
+
 // scope returns whose requests this daemon counts against the limits of a service: those of
 // the zone if it is the coordinator and the other daemons reach it.
 func (s *Selector) scope(service string) scope {
@@ -210,14 +236,14 @@
 	return standInShare / float64(max(1, s.options.Daemons()))
 }
 
-// askCoordinator lets the coordinator choose. It returns nil if another coordinator or this
+// askCoordinator lets the coordinator choose among the instances that were not tried. It returns nil if another coordinator or this
 // daemon has to choose, and a BusyError if the coordinator has no room at any replica.
-func (s *Selector) askCoordinator(ctx context.Context, coordinator assigner.Peer, q Request) (*Choice, error) {
+func (s *Selector) askCoordinator(ctx context.Context, coordinator assigner.Peer, q Request, tried map[string]bool) (*Choice, error) {
 	p := PlaceRequest{Service: q.Service, Work: q.Work, Lasts: time.Until(q.Deadline), Suspicion: q.Suspicion, Version: q.Version}
 	if s.views.limits.count() > 0 {
 		p.Missed = s.coordinators.Passed(q.Service.Name)
 	}
-	for instance := range q.Tried {
+	for instance := range tried {
 		p.Tried = append(p.Tried, instance)
 	}
 	c, err := s.place(ctx, coordinator, p)
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -157,13 +157,14 @@
 	d.relayer.Register(granter.ServiceName, d.programs.Service())
 	d.relayer.Register(selector.ServiceName, d.placements.Coordinator())
 	d.conns = connector.New()
+	d.conns.ObserveEnds(d.sawEnd)
 	d.tunnels = tunneler.New(o.Name, d.relayer, d.logger)
 	d.tunnelService = tunneler.NewService(d.tracker, d.conns, d.logger)
 	d.relayer.RegisterStream(tunneler.StreamKind, d.tunnelService)
 	d.isolator = isolator.Start(ctx, d.relayer, d.logger, isolator.Options{Name: o.Name, Crashed: d.hasEnded})
 	d.versions = versioner.Start(ctx, d.relayer)
 	d.forwarder = forwarder.New(forwarder.Dependencies{
-		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator, Versions: d.versions, Connector: d.conns, Tunnels: d.tunnels,
+		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator, Versions: d.versions, Connector: d.conns, Tunnels: d.tunnels, Reports: p.Reports,
 		Logger: d.logger, Scope: d.metrics.Scope(), Codec: p.Codec,
 	}, forwarder.Options{
 		StoreTimeout: storeTimeout, RetryAfter: retryAfter, OutageRetryAfter: outageRetryAfter, Daemons: d.estimateDaemons,
@@ -186,8 +187,9 @@
 	follower.Start(ctx, d.relayer, &configSink{
 		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, logger: d.logger, outageLog: d.outageLog,
 	}, configOptions(d.platform.CatalogTable))
-	follower.Start(ctx, d.relayer, &registrySink{
-		tracker: d.tracker, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog,
+	registry := &timedFeed{Feed: d.relayer}
+	follower.Start(ctx, registry, &registrySink{
+		tracker: d.tracker, feed: registry, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog,
 	}, registryOptions(d.platform.ReplicaTable))
 	follower.Start(ctx, d.relayer, d.isolator, crashOptions())
 	d.clientServer = d.newServer(d.closeWhenStopping(d.platform.Ingress(d.forwarder, d.catalog)))
@@ -306,7 +308,8 @@
 // turns and requests that fell back to this daemon. Turns opened and requests seated
 // (placed) for peers are those of other daemons. "dialed", "reused" and "failed" concern
 // connections to replicas and exchanges on them, and "foreign" counts responses to another
-// request than the one sent.
+// request than the one sent. "identified" counts the reports that replicas were asked for before a
+// stream was resumed.
 func (d *Daemon) logCounts() {
 	s, c := d.store.Counts(), d.forwarder.Connections()
 	hits, misses, repeats := d.turns.Counts()
@@ -325,6 +328,6 @@
 		Int("streams-recorded", int(recorded)).Int("streams-unrecorded", int(dropped)).
 		Int("relayed", int(relayed)).Int("relays-served", int(served)).
 		Int("detoured", int(c.Detoured)).Int("tunnels-served", d.tunnelService.Active()).
-		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).
+		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).Int("identified", int(c.Identified)).
 		Int("lines-dropped", int(d.logger.Dropped())).End()
 }
--- a/internal/server/links.go
+++ b/internal/server/links.go
@@ -17,6 +17,13 @@
 	return r == nil || d.tunnels.Ended(ctx, r)
 }
 
+// sawEnd records that the process of an instance was seen to end.
+func (d *Daemon) sawEnd(instance string) {
+	if d.tracker.SawEnd(instance, time.Now()) {
+		d.logger.Event("server", "replica ended").Str("instance", instance).End()
+	}
+}
+
 // logCutOff logs when this daemon no longer reaches any replica itself, and when it does again.
 func (d *Daemon) logCutOff() {
 	since, cut := d.conns.CutOff()
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -54,6 +54,8 @@
 	// ReplicaTable holds a row for each replica.
 	ReplicaTable  string
 	DecodeReplica func(id string, value []byte) (*tracker.Replica, error)
+	// Reports reads the reports of replicas; nil if they have none.
+	Reports forwarder.Reports
 	// Ingress returns the handler of client requests.
 	Ingress func(f *forwarder.Forwarder, k *cataloger.Keeper) http.Handler
 }
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -19,7 +19,9 @@
 // registrySink decodes the rows of the registry of replicas and updates the tracker with
 // them.
 type registrySink struct {
-	tracker   *tracker.Tracker
+	tracker *tracker.Tracker
+	// feed is what the follower reads.
+	feed      *timedFeed
 	decode    func(id string, value []byte) (*tracker.Replica, error)
 	logger    *logger.Logger
 	outageLog *outageLog
@@ -36,6 +38,7 @@
 	now := time.Now()
 	g.logChanges(g.tracker.Replace(list, now), version)
 	g.logChanges(g.tracker.Expire(now), version)
+	g.logChanges(g.tracker.ReadCompleted(g.feed.began), version)
 }
 
 // Update implements follower.Sink.
@@ -51,6 +54,7 @@
 	now := time.Now()
 	g.logChanges(g.tracker.Update(rows, now), version)
 	g.logChanges(g.tracker.Expire(now), version)
+	g.logChanges(g.tracker.ReadCompleted(g.feed.began), version)
 }
 
 // StoreUnavailable implements follower.Sink.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -12,8 +13,9 @@
 // Change is a change of the state of one replica, for logging.
 type Change struct {
 	Replica *Replica
-	// Kind is one of added, changed, draining, removed, doubtful and restored. A replica is
-	// doubtful while its row is missing because of an outage.
+	// Kind is one of added, changed, draining, removed, doubtful, restored and confirmed. A
+	// replica is doubtful while its row is missing because of an outage, and confirmed when it
+	// has written a row after its process was taken to have ended.
 	Kind string
 }
 
@@ -28,6 +30,8 @@
 	replica *Replica
 	// removeAt is when a replica whose row is missing is removed, zero while the row exists.
 	removeAt time.Time
+	// confirmation tells whether the row describes the process at the replica's address.
+	confirmation confirmation
 }
 
 // Tracker holds the known replicas and the outages of the registry's store.
@@ -42,11 +46,13 @@
 	// recoveredAt is when the last outage of the store ended, zero if there was none.
 	recoveredAt      time.Time
 	storeUnavailable bool
+	// confirmed is closed when it may have become known to which processes connections lead.
+	confirmed chan struct{}
 }
 
 // New returns an empty tracker.
 func New(o Options) *Tracker {
-	return &Tracker{options: o, entries: map[string]*entry{}, usable: map[string][]*Replica{}, leaving: map[string]time.Time{}}
+	return &Tracker{options: o, entries: map[string]*entry{}, usable: map[string][]*Replica{}, leaving: map[string]time.Time{}, confirmed: make(chan struct{})}
 }
 
 // Usable returns the replicas of a service that can receive new requests. The slice must not
@@ -87,6 +93,131 @@
 	return leaving || e != nil && e.replica.instance == r.instance && e.replica.Draining
 }
 
+// SawEnd records that the process of an instance was seen to end: a connection broke off, or
+// a dial was refused. The instance is unconfirmed until it has written a further row. SawEnd
+// returns false if the end was known, announced, or that of an instance that is not known.
+func (t *Tracker) SawEnd(instance string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.find(instance)
+	if _, leaving := t.leaving[instance]; e == nil || leaving || e.replica.Draining {
+		return false
+	}
+	return e.confirmation.sawEnd(now)
+}
+
+// SawEndSince reports whether the process of an instance was seen to end after a time, and the
+// instance is not confirmed since.
+func (t *Tracker) SawEndSince(r *Replica, since time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.entryOf(r)
+	return e != nil && e.confirmation.endedAt.After(since)
+}
+
+// Unconfirmed returns the usable instances of a service whose process was seen to end.
+func (t *Tracker) Unconfirmed(service string) []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var list []string
+	for _, r := range t.usable[service] {
+		if e := t.entries[r.ID]; e != nil && !e.confirmation.endedAt.IsZero() {
+			list = append(list, r.instance)
+		}
+	}
+	return list
+}
+
+// Owns reports whether a connection to an instance's address, opened at a time, is known to
+// lead to the process of the instance. It is not if the process may have been replaced by
+// another one whose row has not been read yet.
+func (t *Tracker) Owns(r *Replica, opened time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.entryOf(r)
+	return e != nil && e.confirmation.owns(opened)
+}
+
+// Outlived reports whether an instance is certain to have lived after a connection to its
+// address was opened: it wrote a row after that, or named itself on that connection or a later
+// one. No other process can have accepted the connection then, even if rows are written late.
+func (t *Tracker) Outlived(r *Replica, opened time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.entryOf(r)
+	return e != nil && e.confirmation.outlived(opened)
+}
+
+// ReadCompleted records that the rows are those of a read of the registry that began at a time,
+// once Replace or Update has applied them. It returns the replicas that this confirms.
+func (t *Tracker) ReadCompleted(began time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	for _, e := range t.entries {
+		if e.removeAt.IsZero() && e.confirmation.read(began, e.replica.Sequence) {
+			changes = append(changes, Change{e.replica, "confirmed"})
+		}
+	}
+	t.announceConfirmed()
+	return changes
+}
+
+// Identified records that an instance's process named its own start time on a connection that
+// was opened at a time. It lived at that time.
+func (t *Tracker) Identified(r *Replica, opened time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entryOf(r); e != nil {
+		e.confirmation.identified(opened)
+		t.announceConfirmed()
+	}
+}
+
+// AwaitOwned waits until Owns is true, the instance is replaced or the context ends, and
+// returns Owns.
+func (t *Tracker) AwaitOwned(ctx context.Context, r *Replica, opened time.Time) bool {
+	for {
+		t.mu.RLock()
+		e, next := t.entryOf(r), t.confirmed
+		owned := e != nil && e.confirmation.owns(opened)
+		t.mu.RUnlock()
+		if owned || e == nil {
+			return owned
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// announceConfirmed wakes those that wait in AwaitOwned. The caller holds the lock.
+func (t *Tracker) announceConfirmed() {
+	close(t.confirmed)
+	t.confirmed = make(chan struct{})
+}
+
+// find returns the entry of an instance, or nil. The caller holds the lock.
+func (t *Tracker) find(instance string) *entry {
+	for _, e := range t.entries {
+		if e.replica.instance == instance {
+			return e
+		}
+	}
+	return nil
+}
+
+// entryOf returns the entry of the instance that a replica's row described, or nil. The caller
+// holds the lock.
+func (t *Tracker) entryOf(r *Replica) *entry {
+	if e := t.entries[r.ID]; e != nil && e.replica.instance == r.instance && e.replica.Version == r.Version {
+		return e
+	}
+	return nil
+}
+
 // Find returns the known replica with an id, or nil.
 func (t *Tracker) Find(id string) *Replica {
 	t.mu.RLock()
