--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -236,8 +236,9 @@
 	return standInShare / float64(max(1, s.options.Daemons()))
 }
 
-// askCoordinator lets the coordinator choose among the instances that were not tried. It returns nil if another coordinator or this
-// daemon has to choose, and a BusyError if the coordinator has no room at any replica.
+// askCoordinator lets the coordinator choose among the instances that were not tried. It
+// returns nil if another coordinator or this daemon has to choose, and a BusyError if the
+// coordinator has no room at any replica.
 func (s *Selector) askCoordinator(ctx context.Context, coordinator assigner.Peer, q Request, tried map[string]bool) (*Choice, error) {
 	p := PlaceRequest{Service: q.Service, Work: q.Work, Lasts: time.Until(q.Deadline), Suspicion: q.Suspicion, Version: q.Version}
 	if s.views.limits.count() > 0 {
