connector: [fix] a replica without reports does not hold up streams that are resumed

Change: a stream of events is not read as a report, and another connection is opened, for which the registry is awaited. TestAReplicaMayHaveNoReports failed before (i/o timeout after 1.5 s).

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	if err := c.ensureProcess(ctx, q, x); err != nil {
+	if x, err = c.ensureProcess(ctx, q, x); err != nil {
 		c.failed.Add(1)
 		return nil, &Error{Cause: err}
 	}
--- a/internal/connector/process.go
+++ b/internal/connector/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -50,44 +51,55 @@
 	Await(ctx context.Context, opened time.Time) bool
 }
 
-// ensureProcess returns an error unless a connection leads to the process that a call needs. The
-// replica is asked on the same connection, which does not survive the end of its process.
-func (c *Connector) ensureProcess(ctx context.Context, q *Call, x *conn) error {
+// ensureProcess returns a connection that leads to the process that a call needs: the given one,
+// or another one if that could not be used after its replica was asked. The replica is asked on
+// the connection itself, which does not survive the end of its process.
+func (c *Connector) ensureProcess(ctx context.Context, q *Call, x *conn) (*conn, error) {
 	if q.Process == nil || q.Process.Owns(x.openedAt) {
-		return nil
+		return x, nil
 	}
-	identity := UnknownProcess
 	if q.Process.ReportTarget() != "" {
-		report, reusable, err := c.readReport(ctx, q, x)
-		if err != nil {
+		identity, reusable, err := c.identify(ctx, q, x)
+		switch {
+		case err != nil:
 			c.put(q.Instance, x, q.Limit, false)
-			return errors.Wrap(err, "ask for the report")
-		}
-		identity = q.Process.Identify(report, x.openedAt)
-		if !reusable {
+			return nil, errors.Wrap(err, "ask for the report")
+		case identity == OtherProcess:
+			c.put(q.Instance, x, q.Limit, false)
+			c.sawEnd(q.Instance)
+			return nil, ErrOtherProcess
+		case identity == SameProcess && reusable:
+			return x, nil
+		case identity == SameProcess:
 			c.put(q.Instance, x, q.Limit, false)
-			return ErrUnidentified
+			return nil, ErrUnidentified
+		case !reusable:
+			c.put(q.Instance, x, q.Limit, false)
+			if x, err = c.get(ctx, q); err != nil {
+				return nil, err
+			}
 		}
 	}
-	switch {
-	case identity == OtherProcess:
-		c.put(q.Instance, x, q.Limit, false)
-		c.sawEnd(q.Instance)
-		return ErrOtherProcess
-	case identity == SameProcess:
-		return nil
-	case !q.Process.Await(ctx, x.openedAt):
-		c.put(q.Instance, x, q.Limit, true)
-		return ErrUnidentified
-	case !x.healthy():
-		c.put(q.Instance, x, q.Limit, false)
-		return ErrUnidentified
+	owned := q.Process.Await(ctx, x.openedAt)
+	if healthy := x.healthy(); !owned || !healthy {
+		c.put(q.Instance, x, q.Limit, healthy)
+		return nil, ErrUnidentified
+	}
+	return x, nil
+}
+
+// identify asks a replica for its report, and reports whether the connection can be used after
+// that.
+func (c *Connector) identify(ctx context.Context, q *Call, x *conn) (identity Identity, reusable bool, err error) {
+	report, reusable, err := c.readReport(ctx, q, x)
+	if err != nil || report == nil {
+		return UnknownProcess, reusable, err
 	}
-	return nil
+	return q.Process.Identify(report, x.openedAt), reusable, nil
 }
 
-// readReport asks a replica for its report, and reports whether the connection can be used
-// after that.
+// readReport reads the report of a replica, nil if it has none, and reports whether the
+// connection can be used after that.
 func (c *Connector) readReport(ctx context.Context, q *Call, x *conn) (report []byte, reusable bool, err error) {
 	c.identified.Add(1)
 	deadline := time.Now().Add(identifyTimeout)
@@ -98,14 +110,19 @@
 	if _, err = e.send(&Call{Method: http.MethodGet, Target: q.Process.ReportTarget(), Host: q.Address}); err == nil {
 		err = e.receive(&Call{Method: http.MethodGet})
 	}
-	if err == nil {
+	if err == nil && !isStream(e.Response) {
 		report, err = io.ReadAll(io.LimitReader(e, maxReportBytes))
 	}
-	reusable = e.finish()
 	if err == nil && e.Response.StatusCode != http.StatusOK {
 		report = nil
 	}
-	return report, reusable, e.observe(err)
+	return report, e.finish(), e.observe(err)
+}
+
+// isStream reports whether a response is a stream of events. A replica without reports may run
+// the request for one like any other, and its stream would take as long as a turn.
+func isStream(r *http.Response) bool {
+	return strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
 }
 
 // ObserveEnds sets the function that is called when a replica's process is seen to end: its
--- a/internal/connector/process_test.go
+++ b/internal/connector/process_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -67,6 +68,33 @@
 	return "HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=9\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
 
+// A replica without reports ran the request for one like a turn. Nothing was resumed there, since
+// the daemon waited for the end of that stream.
+func TestAReplicaMayHaveNoReports(t *testing.T) {
+	is := is.New(t)
+	var requests []string
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests = append(requests, r.URL.Path)
+		if r.URL.Path == "/turn" {
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer s.Close()
+	p := &testProcess{target: "/report", awaited: true}
+	began := time.Now()
+	e, err := connector.New().Do(context.Background(), &connector.Call{
+		Instance: "a", Address: s.Listener.Addr().String(), Method: http.MethodGet, Target: "/turn", Host: "h", Deadline: began.Add(10 * time.Second), Process: p,
+	})
+	is.NoErr(err)
+	e.Close()
+	is.Equal(requests, []string{"/report", "/turn"})
+	is.Equal(p.awaits, 1)
+	is.True(time.Since(began) < time.Second)
+}
+
 // A request that only one process may run reached the next process at the same address, on a
 // connection that was opened after it was back.
 func TestACallReachesOnlyItsProcess(t *testing.T) {
