budgeter: [fix] unused tokens are checked again until they are returned or used

Callers saw: a program that had moved to another daemon was denied its last turn, because the first daemon kept the tokens that it had reserved in advance.

Cause: a settlement checked a program once, 0.5 s after its last turn. If the budget then covered four or more further turns, or if a reservation had locked the row, the program no longer counted as unsettled, also when the daemon later learned that the budget was nearly spent.

Change: the program stays unsettled in both cases, and the scan, every 0.25 s, checks it by the row that the daemon last saw.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -315,16 +315,17 @@
 }
 
 // settleOne lowers the tokens held by this daemon to those spent or reserved. It writes
-// nothing if no more are held, if the remaining budget covers nearLimitTurns turns of the
-// largest size, or if the row is locked.
+// nothing if no more are held, if the remaining budget, by the row as this daemon last saw
+// it, covers nearLimitTurns turns of the largest size, or if the row is locked. In the last
+// two cases the program stays dirty and is checked again, which costs no call to the store.
 func (b *Budgeter) settleOne(ctx context.Context, p *program) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	select {
 	case p.rowLock <- struct{}{}:
 	default:
-		// A reservation or another settlement has locked the row. The next Finish marks the
-		// program as dirty again.
+		// A reservation that fails is followed by no Finish, so the program is marked here.
+		b.markDirty(p)
 		return
 	}
 	defer func() { <-p.rowLock }()
@@ -332,18 +333,27 @@
 	held, threshold := p.spent+p.reserved, nearLimitTurns*p.largestTurn
 	remaining := p.limit - p.row.heldByOthers(p.holder) - p.row.Held[p.holder]
 	b.mu.Unlock()
-	if held >= p.row.Held[p.holder] || remaining >= threshold {
+	switch {
+	case held >= p.row.Held[p.holder]:
+		return
+	case remaining >= threshold:
+		b.markDirty(p)
 		return
 	}
 	if err := b.writeRow(ctx, p, held); err != nil {
 		// One line per program would flood the log in an outage; only the count is logged.
 		b.unsettled.Add(1)
-		b.mu.Lock()
-		p.dirty = true
-		b.mu.Unlock()
+		b.markDirty(p)
 	}
 }
 
+// markDirty makes the next scan check the program again.
+func (b *Budgeter) markDirty(p *program) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.dirty = true
+}
+
 // Settle settles, in preparation for a planned stop, the programs with turns that finished
 // since their last settlement. Like settleOne, it skips those whose budget is not nearly
 // spent and those whose row is locked.
