granter: [fix] holders of unused tokens are asked to return them before a turn is denied

Callers saw: a program that had moved to another availability zone got 402 for the last turn that its budget covers.

Cause: the coordinator of the first zone held the tokens of a turn that it had reserved in advance. It checked them only by the row as it knew it, and nobody asked it for them.

Change: the daemon that would deny a turn asks the processes that the row names, in parallel and for at most 0.3 s, to return what they hold beyond what was spent or is reserved for turns under way (Steward.Return). If the row may have changed, it is read again, and then the denial is definite. Member rows and announcements publish the name of the process; daemons of the previous build publish none and are not asked, since a call of a method that they lack would close the shared connection. A caller whose coordinator would have to ask sends its request again with the time of a round, so a round is not taken for a coordinator that is silent. Callers of the previous build get the denial as before.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -13,7 +13,9 @@
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
-// ErrExhausted reports that the budget does not cover the tokens of the turn.
+// ErrExhausted reports that the budget does not cover the tokens of the turn, as far as they
+// are not spent or held for others. It is definite once the holders have been asked to return
+// what they do not need.
 var ErrExhausted = errors.New("budgeter: budget is exhausted")
 
 const (
@@ -104,8 +106,8 @@
 }
 
 // Reserve reserves tokens of a program's budget for a turn; limit is the program's whole
-// budget, in tokens. It returns ErrExhausted if the budget definitely does not cover them,
-// and the store's error if that is unknown.
+// budget, in tokens. It returns a Denial, which is an ErrExhausted, if the row does not leave
+// them, and the store's error if that is unknown.
 func (b *Budgeter) Reserve(ctx context.Context, name string, limit, tokens int) error {
 	p := b.getOrCreate(name, limit, tokens)
 	select {
@@ -142,7 +144,7 @@
 		b.mu.Unlock()
 		if p.row.heldByOthers(p.holder)+want > limit {
 			if reloaded {
-				return ErrExhausted
+				return newDenial(p.row, b.process)
 			}
 			if err := b.loadRow(ctx, p); err != nil {
 				return err
--- a/internal/granter/doc.go
+++ b/internal/granter/doc.go
@@ -8,4 +8,8 @@
 // reads and writes the rows itself when the coordinator does not answer. The
 // coordinator is an optimization and has no ownership: conditional writes keep the
 // rows correct, so two coordinators of one program do no harm.
+//
+// A former coordinator, of this zone or of another one, may hold tokens that it reserved in
+// advance. Before a turn is denied, the processes that the program's row names are asked to
+// return what they do not need, in parallel and for at most 0.3 s, and the row is read again.
 package granter
--- a/internal/granter/fixture_test.go
+++ b/internal/granter/fixture_test.go
@@ -29,6 +29,8 @@
 	// faultEvery makes one in that many calls between daemons fail; zero disables faults.
 	faultEvery int
 	starts     int
+	// away are the indices of the daemons that are in another availability zone.
+	away map[int]bool
 }
 
 // daemon is one granter with its dependencies.
@@ -43,6 +45,13 @@
 	service *granter.Service
 	// unresponsive daemons never reply.
 	unresponsive atomic.Bool
+	process      string
+	// away is set for daemons of another availability zone.
+	away bool
+	// old is set for daemons of the previous build, which publish no process.
+	old bool
+	// returns counts the calls that asked this daemon to return tokens.
+	returns atomic.Int64
 }
 
 // countingTable counts the writes of one daemon.
@@ -65,8 +74,11 @@
 	return c.Table.Commit(ctx, tx)
 }
 
-func newZone(n, faultEvery int, r *rand.Rand) *zone {
-	z := &zone{store: emulator.NewStore(), random: r, faultEvery: faultEvery, daemons: make([]*daemon, n)}
+func newZone(n, faultEvery int, r *rand.Rand, away ...int) *zone {
+	z := &zone{away: map[int]bool{}, store: emulator.NewStore(), random: r, faultEvery: faultEvery, daemons: make([]*daemon, n)}
+	for _, i := range away {
+		z.away[i] = true
+	}
 	for i := range n {
 		z.start(i)
 	}
@@ -79,12 +91,12 @@
 		old.cancel()
 	}
 	z.starts++
-	d := &daemon{zone: z, address: fmt.Sprintf("d%d", i), table: &countingTable{Table: z.store}}
+	d := &daemon{zone: z, address: fmt.Sprintf("d%d", i), process: fmt.Sprintf("d%d-%d", i, z.starts), away: z.away[i], table: &countingTable{Table: z.store}}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.budgets = budgeter.Start(d.ctx, d.table, fmt.Sprintf("%s-%d", d.address, z.starts))
+	d.budgets = budgeter.Start(d.ctx, d.table, d.process)
 	turns := archivist.New(d.table, archivist.Options{RowBytes: 4096, CacheBytes: 1 << 20})
 	d.granter = granter.Start(d.ctx, turns, d.budgets, d, logger.Start(d.ctx, io.Discard), granter.Options{
-		VM: d.address, Name: fmt.Sprintf("%s-%d", d.address, z.starts),
+		VM: d.address, Name: d.process, Elsewhere: d.elsewhere,
 	})
 	d.service = d.granter.Service()
 	z.mu.Lock()
@@ -109,14 +121,25 @@
 }
 
 // Others implements assigner.Peers.
-func (d *daemon) Others() []assigner.Peer {
+func (d *daemon) Others() []assigner.Peer { return d.list(d.away) }
+
+// elsewhere returns the daemons of the other zone.
+func (d *daemon) elsewhere(context.Context) []assigner.Peer { return d.list(!d.away) }
+
+// list returns the other daemons of a zone.
+func (d *daemon) list(away bool) []assigner.Peer {
 	d.zone.mu.Lock()
 	defer d.zone.mu.Unlock()
 	var list []assigner.Peer
 	for _, o := range d.zone.daemons {
-		if o != nil && o.address != d.address {
-			list = append(list, assigner.Peer{Name: o.address, Address: o.address})
+		if o == nil || o.address == d.address || o.away != away {
+			continue
 		}
+		p := assigner.Peer{Name: o.address, Address: o.address}
+		if !o.old {
+			p.Process = o.process
+		}
+		list = append(list, p)
 	}
 	return list
 }
@@ -141,6 +164,9 @@
 	if callee.ctx.Err() != nil {
 		return messenger.ErrNotSent
 	}
+	if _, ok := args.(granter.ReturnRequest); ok {
+		callee.returns.Add(1)
+	}
 	c := &call{service: callee.service, method: method, args: args, done: make(chan struct{})}
 	fault := 0
 	if d.zone.faultEvery > 0 && d.zone.randomInt(d.zone.faultEvery) == 0 {
@@ -166,8 +192,11 @@
 	if fault == 4 {
 		return messenger.ErrNoReply
 	}
-	if r, ok := reply.(*granter.OpenReply); ok {
+	switch r := reply.(type) {
+	case *granter.OpenReply:
 		*r = c.reply
+	case *granter.ReturnReply:
+		*r = c.returned
 	}
 	return nil
 }
@@ -178,7 +207,9 @@
 	method  string
 	args    any
 	reply   granter.OpenReply
-	done    chan struct{}
+	// returned is the reply to a call that returns tokens.
+	returned granter.ReturnReply
+	done     chan struct{}
 }
 
 func (c *call) run() {
@@ -186,6 +217,8 @@
 	switch q := c.args.(type) {
 	case granter.OpenRequest:
 		_ = c.service.Open(q, &c.reply)
+	case granter.ReturnRequest:
+		_ = c.service.Return(q, &c.returned)
 	case granter.CloseRequest:
 		_ = c.service.Close(q, &granter.CloseReply{})
 	}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -53,6 +53,9 @@
 	// by it, so that a restart assigns no program to another one. Name is the name of this
 	// process, which no earlier or later process has.
 	VM, Name string
+	// Elsewhere returns the daemons of other zones, which may hold tokens of a program that
+	// has moved to this one; nil for none.
+	Elsewhere func(ctx context.Context) []assigner.Peer
 }
 
 // Granter opens and closes turns on behalf of one daemon.
@@ -64,6 +67,7 @@
 	peers         assigner.Peers
 	coordinators  *assigner.Assigner
 	grants        grants
+	recalls       recaller
 	tomb          *tomb.Tomb
 	leaving       atomic.Bool
 	sequence      atomic.Int64
@@ -76,6 +80,7 @@
 func Start(ctx context.Context, turns *archivist.Archivist, budgets *budgeter.Budgeter, peers assigner.Peers, r *logger.Logger, o Options) *Granter {
 	s := &Granter{options: o, turns: turns, budgets: budgets, peers: peers, coordinators: assigner.New(o.VM, peers), logger: r}
 	s.tomb, _ = tomb.WithContext(ctx)
+	s.recalls.peers, s.recalls.elsewhere, s.recalls.tomb = peers, o.Elsewhere, s.tomb
 	s.tomb.Go(s.run)
 	return s
 }
@@ -136,7 +141,7 @@
 		}
 		s.missed.Add(1)
 	}
-	chain, err := s.openLocally(ctx, t)
+	chain, err := s.openLocally(ctx, t, true)
 	if err != nil {
 		return nil, err
 	}
@@ -144,8 +149,8 @@
 }
 
 // openLocally opens a turn on this daemon: it reads the history and reserves the tokens
-// concurrently.
-func (s *Granter) openLocally(ctx context.Context, t Turn) (*archivist.Chain, error) {
+// concurrently. With recall, it asks the holders of unused tokens before it denies the turn.
+func (s *Granter) openLocally(ctx context.Context, t Turn, recall bool) (*archivist.Chain, error) {
 	h := &historyRead{turns: s.turns, parent: t.Parent, done: make(chan struct{})}
 	switch {
 	case t.History && t.Tokens > 0:
@@ -155,7 +160,7 @@
 	}
 	var err error
 	if t.Tokens > 0 {
-		err = errors.WithMessage(s.budgets.Reserve(ctx, t.Program, t.Budget, t.Tokens), "reserve budget")
+		err = errors.WithMessage(s.reserve(ctx, t, recall), "reserve budget")
 	}
 	if !t.History {
 		return nil, err
@@ -174,6 +179,24 @@
 	return nil, err
 }
 
+// reserve reserves a turn's tokens.
+func (s *Granter) reserve(ctx context.Context, t Turn, recall bool) error {
+	began := time.Now()
+	err := s.budgets.Reserve(ctx, t.Program, t.Budget, t.Tokens)
+	var d *budgeter.Denial
+	if !recall || !errors.As(err, &d) {
+		return err
+	}
+	changed, recallErr := s.recalls.recall(ctx, t.Program, d.Processes(), began)
+	switch {
+	case recallErr != nil:
+		return recallErr
+	case changed:
+		return s.budgets.Reserve(ctx, t.Program, t.Budget, t.Tokens)
+	}
+	return err
+}
+
 // historyRead reads the history that ends with the turn parent.
 type historyRead struct {
 	turns  *archivist.Archivist
@@ -199,9 +222,11 @@
 	}
 	var r OpenReply
 	if q.Turn.History || t.Tokens > 0 {
-		callCtx, cancel := context.WithTimeout(ctx, coordinatorTimeout)
-		defer cancel()
-		err := s.peers.Call(callCtx, coordinator.Address, openMethod, q, &r)
+		var err error
+		if r, err = s.callOpen(ctx, coordinator, q); err == nil && r.Recallable {
+			q.Recall, q.Left = true, q.Left+recallTimeout
+			r, err = s.callOpen(ctx, coordinator, q)
+		}
 		switch {
 		case err != nil || r.Outcome == Closed:
 			return nil, s.coordinatorFailed(ctx, coordinator, id, t, err)
@@ -229,6 +254,14 @@
 	return g, nil
 }
 
+// callOpen sends a request to the program's coordinator.
+func (s *Granter) callOpen(ctx context.Context, coordinator assigner.Peer, q OpenRequest) (r OpenReply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Left+replyMargin)
+	defer cancel()
+	err = s.peers.Call(ctx, coordinator.Address, openMethod, q, &r)
+	return r, err
+}
+
 // coordinatorFailed records that a coordinator did not open a turn, and cancels the
 // grant if the coordinator may have made it. It returns nil if this daemon should open the
 // turn itself, and an error if ctx has ended.
--- a/internal/granter/service.go
+++ b/internal/granter/service.go
@@ -18,8 +18,13 @@
 	ServiceName = "Steward"
 	openMethod  = ServiceName + ".Open"
 	closeMethod = ServiceName + ".Close"
+	// returnMethod is called only at daemons that publish their process: a daemon of an older
+	// build does not know it, and the call's error would close the shared connection.
+	returnMethod = ServiceName + ".Return"
 	// maxConcurrentOpens limits the turns that are being opened for peers at a time.
 	maxConcurrentOpens = 64
+	// maxConcurrentReturns limits the programs whose tokens are being returned at a time.
+	maxConcurrentReturns = 64
 )
 
 // Outcome is the result of a request to open a turn.
@@ -47,6 +52,9 @@
 	Turn Turn
 	// Left is the time for which the calling daemon waits for the reply.
 	Left time.Duration
+	// Recall is set if Left also covers a round in which the holders of unused tokens are
+	// asked to return them.
+	Recall bool
 }
 
 // OpenReply answers an OpenRequest.
@@ -55,6 +63,8 @@
 	// Throttled is set with Refused if the store serves fewer writes than it gets. The caller
 	// then refuses the turn, since its own writes would only be more of them.
 	Throttled bool
+	// Recallable is set with Exhausted if the same request with Recall may be granted.
+	Recallable bool
 	// Turns is the history, oldest turn first.
 	Turns []archivist.Turn
 }
@@ -71,10 +81,24 @@
 // CloseReply answers a CloseRequest.
 type CloseReply struct{}
 
+// ReturnRequest asks a daemon to return the tokens of a program that it does not need.
+type ReturnRequest struct {
+	Program string
+	// Left is the time for which the calling daemon waits for the reply.
+	Left time.Duration
+}
+
+// ReturnReply answers a ReturnRequest.
+type ReturnReply struct {
+	// Changed is set if the program's row may have changed.
+	Changed bool
+}
+
 // Service opens and closes turns on behalf of peers.
 type Service struct {
-	granter  *Granter
-	inFlight atomic.Int64
+	granter   *Granter
+	inFlight  atomic.Int64
+	returning atomic.Int64
 }
 
 // Service returns the RPC service that peers call.
@@ -91,13 +115,16 @@
 	}
 	ctx, cancel := context.WithTimeout(s.tomb.Context(nil), q.Left)
 	defer cancel()
-	chain, err := s.openLocally(ctx, q.Turn)
+	began := time.Now()
+	chain, err := s.openLocally(ctx, q.Turn, q.Recall)
 	switch {
 	case errors.Is(err, archivist.ErrNoTurn):
 		r.Outcome = NoTurn
 		return nil
 	case errors.Is(err, budgeter.ErrExhausted):
 		r.Outcome = Exhausted
+		var d *budgeter.Denial
+		r.Recallable = !q.Recall && errors.As(err, &d) && s.recalls.mayRecall(q.Turn.Program, d.Processes(), began)
 		return nil
 	case err != nil:
 		r.Throttled = errors.Is(err, storer.ErrThrottled)
@@ -119,6 +146,23 @@
 	return nil
 }
 
+// Return returns the tokens of a program that are held here and not needed; it never returns
+// an error.
+func (v *Service) Return(q ReturnRequest, r *ReturnReply) error {
+	s := v.granter
+	defer v.returning.Add(-1)
+	if v.returning.Add(1) > maxConcurrentReturns {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(s.tomb.Context(nil), q.Left)
+	defer cancel()
+	var err error
+	if r.Changed, err = s.budgets.ReturnUnused(ctx, q.Program); err != nil {
+		s.logger.Event("steward", "tokens not returned").Str("program", q.Program).Err(err).End()
+	}
+	return nil
+}
+
 // Close closes a grant; a repeated call has no effect.
 func (v *Service) Close(q CloseRequest, _ *CloseReply) error {
 	s := v.granter
--- a/internal/relayer/announcement.go
+++ b/internal/relayer/announcement.go
@@ -19,6 +19,8 @@
 type JoinRequest struct {
 	// Name is the name of the daemon's VM and Address its address for peers, host:port.
 	Name, Address string
+	// Process is the name of the daemon's process; it is empty in requests of older builds.
+	Process string
 }
 
 // JoinReply answers a JoinRequest.
@@ -26,7 +28,7 @@
 
 // Join adds a daemon to the peers at once.
 func (s *Service) Join(q JoinRequest, _ *JoinReply) error {
-	s.members.join(q.Name, q.Address)
+	s.members.join(q.Name, q.Address, q.Process)
 	return nil
 }
 
@@ -57,7 +59,7 @@
 	x := c.relayer
 	ctx, cancel := context.WithTimeout(x.tomb.Context(nil), announceTimeout)
 	defer cancel()
-	if err := x.Call(ctx, c.peer.Address, joinMethod, JoinRequest{Name: x.options.VM, Address: x.options.Address}, &JoinReply{}); err != nil {
+	if err := x.Call(ctx, c.peer.Address, joinMethod, JoinRequest{Name: x.options.VM, Address: x.options.Address, Process: x.options.Process}, &JoinReply{}); err != nil {
 		x.logger.Event("relayer", "not announced").Str("peer", c.peer.Name).Err(err).End()
 	}
 	return nil
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -14,6 +14,8 @@
 type member struct {
 	// Address is the daemon's address for peers, as host:port.
 	Address string `json:"address"`
+	// Process is the name of the daemon's process; older builds do not write it.
+	Process string `json:"process,omitempty"`
 }
 
 // members holds the peers of this daemon in its availability zone.
@@ -29,6 +31,8 @@
 // peer is the address of another daemon and its state as a relay.
 type peer struct {
 	address string
+	// process is the name of the daemon's process, empty if it is not known.
+	process string
 	// avoidUntil is the time until which no call is relayed to it, after a failure.
 	avoidUntil time.Time
 }
@@ -65,7 +69,7 @@
 func (m *members) updateList() {
 	list := make([]assigner.Peer, 0, len(m.peers))
 	for name, p := range m.peers {
-		list = append(list, assigner.Peer{Name: name, Address: p.address})
+		list = append(list, assigner.Peer{Name: name, Address: p.address, Process: p.process})
 	}
 	m.list.Store(&list)
 }
@@ -84,17 +88,17 @@
 		return // This daemon's own row, or one that has no valid address.
 	}
 	p := old[name]
-	m.peers[name] = peer{address: value.Address, avoidUntil: p.avoidUntil}
+	m.peers[name] = peer{address: value.Address, process: value.Process, avoidUntil: p.avoidUntil}
 }
 
 // join adds a peer before its member row is read.
-func (m *members) join(name, address string) {
+func (m *members) join(name, address, process string) {
 	if name == m.self || address == "" {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peers[name] = peer{address: address}
+	m.peers[name] = peer{address: address, process: process}
 	m.updateList()
 }
 
--- a/internal/relayer/neighbours.go
+++ b/internal/relayer/neighbours.go
@@ -29,6 +29,8 @@
 	list    []assigner.Peer
 	readAt  time.Time
 	reading bool
+	// done is closed at the end of the read in progress.
+	done chan struct{}
 }
 
 // beginRead returns the known list, and whether the caller should read it now: before it
@@ -39,7 +41,7 @@
 	if n.reading || now.Sub(n.readAt) < neighboursPeriod {
 		return n.list, false, false
 	}
-	n.reading = true
+	n.reading, n.done = true, make(chan struct{})
 	return n.list, true, n.readAt.IsZero()
 }
 
@@ -48,6 +50,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.reading, n.readAt = false, now
+	close(n.done)
 	if err != nil {
 		n.readAt = now.Add(probePeriod - neighboursPeriod) // Try again soon.
 	}
@@ -69,6 +72,40 @@
 	return list
 }
 
+// ElsewhereNow returns the daemons of other zones as read at most neighboursPeriod ago. It
+// waits for a read if there is none so recent, and returns the older list if that fails or
+// ctx ends before.
+func (x *Relayer) ElsewhereNow(ctx context.Context) []assigner.Peer {
+	list, read, _ := x.neighbours.beginRead(time.Now())
+	if read {
+		go neighboursRead{x}.run(context.WithoutCancel(ctx))
+	}
+	select {
+	case <-x.neighbours.idle():
+		return x.neighbours.known()
+	case <-ctx.Done():
+		return list
+	}
+}
+
+// idle returns a channel that is closed once no read is in progress.
+func (n *neighbours) idle() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.done == nil {
+		n.done = make(chan struct{})
+		close(n.done)
+	}
+	return n.done
+}
+
+// known returns the list as it was last read.
+func (n *neighbours) known() []assigner.Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.list
+}
+
 // neighboursRead is one read of the daemons of other zones.
 type neighboursRead struct{ relayer *Relayer }
 
@@ -86,7 +123,7 @@
 		for _, r := range rows {
 			var m member
 			if json.Unmarshal(r.Value, &m) == nil && m.Address != "" {
-				list = append(list, assigner.Peer{Name: r.Name(), Address: m.Address})
+				list = append(list, assigner.Peer{Name: r.Name(), Address: m.Address, Process: m.Process})
 			}
 		}
 	}
--- a/internal/relayer/neighbours_test.go
+++ b/internal/relayer/neighbours_test.go
@@ -47,3 +47,38 @@
 		}
 	})
 }
+
+// TestTheDaemonOfAProcessIsKnown checks that the processes of daemons are known in their own
+// zone and, at once after a restart, in other zones; a list that is used while it is read
+// again would name the process before the restart for as long as nobody asks.
+func TestTheDaemonOfAProcessIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newZone(t)
+		defer z.stop()
+		ctx := context.Background()
+		x := z.relayers[0]
+		is.True(len(x.Others()) > 0)
+		for _, p := range x.Others() {
+			is.Equal(p.Process, p.Name+"-process")
+		}
+		for _, process := range []string{"d-1", "d-2"} {
+			_, err := z.store.Commit(ctx, write("members-y/peers/d", `{"address":"d","process":"`+process+`"}`))
+			is.NoErr(err)
+			time.Sleep(time.Minute)
+			is.Equal(x.ElsewhereNow(ctx), []assigner.Peer{{Name: "d", Address: "d", Process: process}})
+		}
+		reads := z.store.Counts().Reads
+		for range 50 {
+			is.Equal(len(x.ElsewhereNow(ctx)), 1)
+		}
+		is.Equal(z.store.Counts().Reads, reads) // Read once in a while.
+		time.Sleep(time.Minute)
+		z.store.SetFaults(emulator.StoreFaults{DelayMS: 400})
+		short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		is.Equal(len(x.ElsewhereNow(short)), 1) // The older list is used while the store is slow.
+		is.Equal(time.Since(start), 100*time.Millisecond)
+	})
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -51,6 +51,8 @@
 type Options struct {
 	// VM is the name of this VM, which stays the same across restarts of the daemon.
 	VM, Zone string
+	// Process is the name of this process, which is published to the other daemons.
+	Process string
 	// OtherZones are the names of the other availability zones.
 	OtherZones []string
 	// Address is this daemon's address for peers; empty disables relaying.
@@ -200,7 +202,7 @@
 		s.Start(ctx, l)
 		x.pool.Store(messenger.NewPool(x.options.Dial, secret))
 	}
-	value, err := json.Marshal(member{Address: x.options.Address})
+	value, err := json.Marshal(member{Address: x.options.Address, Process: x.options.Process})
 	if err != nil {
 		x.logger.Event("relayer", "no member row").Err(err).End()
 		return true
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -201,7 +201,7 @@
 	})
 	z.accesses, z.guards = append(z.accesses, a), append(z.guards, g)
 	x := relayer.New(g, logger.Start(z.ctx, io.Discard), relayer.Options{
-		VM: name, Zone: "z", OtherZones: []string{"y", "x"}, Address: name, Dial: z.network.dial, Listen: z.network.listen,
+		VM: name, Process: name + "-process", Zone: "z", OtherZones: []string{"y", "x"}, Address: name, Dial: z.network.dial, Listen: z.network.listen,
 	})
 	x.Start(z.ctx)
 	z.relayers = append(z.relayers, x)
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -146,11 +146,11 @@
 	d.tracker = tracker.New(tracker.Options{OutageGrace: outageGrace})
 	d.store = newGuard(p.Table, p.Feed)
 	d.relayer = relayer.New(d.store, d.logger, relayer.Options{
-		VM: o.VM, Zone: o.Zone, OtherZones: o.OtherZones, Address: o.PeerAddress, Dial: dialPeer, Listen: listen,
+		VM: o.VM, Process: o.Name, Zone: o.Zone, OtherZones: o.OtherZones, Address: o.PeerAddress, Dial: dialPeer, Listen: listen,
 	})
 	d.turns = archivist.New(d.relayer, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsCacheDivisor)})
 	d.budgets = budgeter.Start(ctx, d.relayer, o.Name)
-	d.programs = granter.Start(ctx, d.turns, d.budgets, d.relayer, d.logger, granter.Options{VM: o.VM, Name: o.Name})
+	d.programs = granter.Start(ctx, d.turns, d.budgets, d.relayer, d.logger, granter.Options{VM: o.VM, Name: o.Name, Elsewhere: d.relayer.ElsewhereNow})
 	d.placements = selector.Start(ctx, d.tracker, d.relayer, d.logger, selector.Options{
 		Zone: o.Zone, VM: o.VM, Name: o.Name, Zones: o.Zones, Daemons: d.estimateDaemons, Table: d.relayer,
 	})
