budgeter: [fix] unused tokens of an idle program can be returned and used

Callers saw: a program that paused for more than 90 s lost one turn of its budget for each daemon that had reserved tokens in advance; the last turns got 402.

Cause: an unused program is evicted after 90 s with the number of tokens that it spent. The daemon then neither returned the rest when asked nor used it itself, since a later use had a new holder.

A later use keeps the holder and uses the tokens without a call to the store.

TestTokensOfAnIdleProgramAreNotLost fails without the change (4 commits, not 2). TestIdleProgramsTakeBoundedMemory fails without it as nothing is remembered.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -46,6 +46,7 @@
 
 	mu       sync.Mutex
 	programs map[string]*program
+	retired  *retired
 	// lastHolder is the number of the last holder; each program loaded gets the next one.
 	lastHolder int
 
@@ -56,7 +57,7 @@
 type program struct {
 	name string
 	// holder names this view in the row. A program that is used again after its eviction
-	// gets a new holder, so that the tokens spent under the earlier one still count.
+	// keeps its holder if the tokens spent under it are remembered, and else gets a new one.
 	holder string
 	// rowLock is held while the row is read or written. It is a channel so that waiting
 	// for it ends with a context.
@@ -70,6 +71,9 @@
 	// held by this daemon, so nothing is reserved from the current row until a later write
 	// has changed its version.
 	inDoubt bool
+	// keepsUnused is set if the last settlement left unused tokens here because the budget was
+	// not nearly spent by the row as it was known.
+	keepsUnused bool
 
 	// The fields below are guarded by the budgeter's mutex.
 	reserved, spent int
@@ -82,7 +86,7 @@
 // Start returns a budgeter that settles programs until the context ends. The name
 // process identifies this process; no earlier or later process may have it.
 func Start(ctx context.Context, table storer.Table, process string) *Budgeter {
-	b := &Budgeter{table: table, process: process, programs: map[string]*program{}}
+	b := &Budgeter{table: table, process: process, programs: map[string]*program{}, retired: newRetired()}
 	b.tomb, _ = tomb.WithContext(ctx)
 	b.tomb.Go(b.run)
 	return b
@@ -119,14 +123,26 @@
 	return b.reserve(ctx, p, limit, tokens)
 }
 
+func newProgram(name, holder string) *program {
+	return &program{name: name, holder: holder, rowLock: make(chan struct{}, 1), lastUsed: time.Now()}
+}
+
+// find returns the view of a program, nil if there is none. The caller holds b.mu.
+func (b *Budgeter) find(name string) *program {
+	if p := b.programs[name]; p != nil {
+		return p
+	}
+	return b.revive(name)
+}
+
 // getOrCreate returns the view of a program, marked as used now.
 func (b *Budgeter) getOrCreate(name string, limit, tokens int) *program {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.programs[name]
+	p := b.find(name)
 	if p == nil {
 		b.lastHolder++
-		p = &program{name: name, holder: b.process + "." + strconv.Itoa(b.lastHolder), rowLock: make(chan struct{}, 1)}
+		p = newProgram(name, b.process+"."+strconv.Itoa(b.lastHolder))
 		b.programs[name] = p
 	}
 	p.lastUsed = time.Now()
@@ -242,7 +258,7 @@
 		if err != nil {
 			return false
 		}
-		p.setRow(state, r.Version)
+		b.setRow(p, state, r.Version)
 		return true
 	}
 	return false
@@ -257,15 +273,20 @@
 	if err != nil {
 		return err
 	}
-	p.setRow(state, r.Version)
+	b.setRow(p, state, r.Version)
 	return nil
 }
 
 // setRow stores a row that was read. Once the row's version has changed, no earlier
-// write in doubt can take effect any more.
-func (p *program) setRow(r row, version uint64) {
+// write in doubt can take effect any more, and unused tokens that were not needed by others
+// may be needed.
+func (b *Budgeter) setRow(p *program, r row, version uint64) {
 	if version != p.version {
 		p.inDoubt = false
+		if p.keepsUnused {
+			p.keepsUnused = false
+			b.markDirty(p)
+		}
 	}
 	p.row, p.version = r, version
 }
@@ -301,10 +322,10 @@
 	now := time.Now()
 	var due []*program
 	b.mu.Lock()
-	for name, p := range b.programs {
+	for _, p := range b.programs {
 		switch {
 		case now.Sub(p.lastUsed) > evictAfter && p.reserved == 0:
-			delete(b.programs, name)
+			b.evict(p)
 		case p.dirty && now.Sub(p.lastUsed) > settleAfter:
 			p.dirty = false
 			due = append(due, p)
@@ -318,8 +339,8 @@
 
 // settleOne lowers the tokens held by this daemon to those spent or reserved. It writes
 // nothing if no more are held, if the remaining budget, by the row as this daemon last saw
-// it, covers nearLimitTurns turns of the largest size, or if the row is locked. In the last
-// two cases the program stays dirty and is checked again, which costs no call to the store.
+// it, covers nearLimitTurns turns of the largest size, or if the row is locked. It is called
+// again once another version of the row is known, or the row may be free.
 func (b *Budgeter) settleOne(ctx context.Context, p *program) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
@@ -339,7 +360,7 @@
 	case held >= p.row.Held[p.holder]:
 		return
 	case remaining >= threshold:
-		b.markDirty(p)
+		p.keepsUnused = true
 		return
 	}
 	if err := b.writeRow(ctx, p, held); err != nil {
--- a/internal/budgeter/giveback.go
+++ b/internal/budgeter/giveback.go
@@ -14,7 +14,7 @@
 // doubt.
 func (b *Budgeter) ReturnUnused(ctx context.Context, name string) (changed bool, err error) {
 	b.mu.Lock()
-	p := b.programs[name]
+	p := b.find(name)
 	b.mu.Unlock()
 	if p == nil {
 		return false, nil
