archivist: [fix] a turn that one call to the store does not take is written in several

Callers saw (found by reading): a turn of over about 750 KB failed in each attempt to store it, and the end of its stream was held back until the deadline, although bodies of 4 MB are legal.

Cause: all rows of a turn were written in one call, and the store takes at most 100 entries and 1 MB, values in base64, in a call.

Change: rows are packed into as few calls as possible, and the first row, which makes the turn exist, is in the last one. The keys of the other rows of such a turn contain a hash of its text, so that rows of an interrupted attempt, or a write in doubt that takes effect late, are never mixed with those of another run of the turn. Turns that fit into one call are stored as before, in one call. Additional rows are read eight at a time, as 65 reads one after the other would take much of the 1.2 s before a turn runs.

Ids of ancestors that would fill the first row are left out, apart from the parent; before, they made the encoding panic after the turn had run.

TestATurnOfFourMegabytesIsStored and TestLargeTurnsAgainstAnOracle (refused, lost and late writes, kills between two calls) fail without the change.

--- a/internal/archivist/archivist.go
+++ b/internal/archivist/archivist.go
@@ -1,6 +1,7 @@
 package archivist
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -28,6 +29,9 @@
 // ErrNoTurn reports that no turn with that id is stored.
 var ErrNoTurn = errors.New("archivist: no such turn")
 
+// ErrTooLarge reports a turn that can never be stored.
+var ErrTooLarge = errors.New("archivist: turn is too large")
+
 // Options are the limits of an Archivist.
 type Options struct {
 	// RowBytes is the maximum size of a row's value.
@@ -163,19 +167,19 @@
 	if row.Version == 0 {
 		return nil, errors.Wrapf(ErrNoTurn, "%q", id)
 	}
-	n, more, err := decode(id, row.Value)
+	n, header, err := decode(id, row.Value)
 	if err != nil {
 		return nil, err
 	}
-	for i := 1; i <= more; i++ {
-		row, err := a.table.Get(ctx, key(id, i))
-		if err != nil {
-			return nil, err
-		}
-		if row.Version == 0 {
-			return nil, errors.Errorf("row %d of turn %q is missing", i, id)
-		}
-		n.text = append(n.text, row.Value...)
+	rest, err := a.readRows(ctx, id, header)
+	if err != nil {
+		return nil, err
+	}
+	if len(rest) > 0 {
+		n.text = bytes.Join(append([][]byte{n.text}, rest...), nil)
+	}
+	if header.Content != "" && len(n.text) != header.Bytes {
+		return nil, errors.Errorf("turn %q has %d bytes, not %d", id, len(n.text), header.Bytes)
 	}
 	a.cache.put(n)
 	return n, nil
@@ -188,18 +192,25 @@
 	if n.parent() != t.Parent {
 		return errors.Errorf("history of turn %q ends with turn %q, not with its parent %q", t.ID, n.parent(), t.Parent)
 	}
-	values, err := n.encode(a.options.RowBytes)
+	calls, err := n.calls(a.options.RowBytes)
 	if err != nil {
 		return err
 	}
-	var tx storer.Transaction
-	for i, v := range values {
-		tx.Writes = append(tx.Writes, storer.Write{Key: key(t.ID, i), Value: v})
+	for _, tx := range calls {
+		if err := a.commit(ctx, tx); err != nil {
+			return err
+		}
 	}
+	a.cache.put(n)
+	return nil
+}
+
+// commit repeats a call until the store has acknowledged it or the context ends.
+func (a *Archivist) commit(ctx context.Context, tx storer.Transaction) error {
 	var backoff storer.Backoff
 	for {
-		if _, err = a.table.Commit(ctx, tx); err == nil {
-			a.cache.put(n)
+		_, err := a.table.Commit(ctx, tx)
+		if err == nil {
 			return nil
 		}
 		if !backoff.Wait(ctx) {
--- a/internal/archivist/turn.go
+++ b/internal/archivist/turn.go
@@ -3,12 +3,22 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
-// maxAncestors is the maximum number of ancestors that a row names, parent first.
-const maxAncestors = 12
+const (
+	// maxAncestors is the maximum number of ancestors that a row names, parent first.
+	maxAncestors = 12
+	// headerReserveBytes is left in a first row for the newline and for rowHeader.More, which
+	// is not set yet when the size of the header is measured.
+	headerReserveBytes = 32
+	// headerShare is the inverse of the part of a row that the header may take. Long ids of
+	// ancestors are left out beyond it, apart from the parent's.
+	headerShare = 2
+)
 
 // Turn is one request of a program together with its response.
 type Turn struct {
@@ -37,42 +47,73 @@
 	Ancestors []string `json:"ancestors,omitempty"`
 	// More is the number of additional rows, which hold the rest of the text.
 	More int `json:"more,omitempty"`
+	// Content is set if the rows were written in several calls. It is a hash of the text and
+	// a part of the keys of the additional rows, so that rows of another attempt to record
+	// the turn, which ran it with another result, are never mixed with these.
+	Content string `json:"content,omitempty"`
+	// Bytes is the size of the text, set with Content.
+	Bytes int `json:"bytes,omitempty"`
 }
 
-// encode returns the values of a turn's rows, of at most size bytes each.
-func (n *node) encode(size int) ([][]byte, error) {
-	header := rowHeader{Ancestors: n.ancestors}
-	line, err := json.Marshal(header)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode turn")
+// rowKey returns the key of a turn's additional row.
+func (h *rowHeader) rowKey(id string, row int) string {
+	if h.Content == "" {
+		return key(id, row)
+	}
+	return fmt.Sprintf("%s#%s.%d", key(id, 0), h.Content, row)
+}
+
+// fit removes ancestors until the header leaves room for text in a row, and returns the
+// header line. It returns ErrTooLarge if the parent's id alone is too long.
+func (h *rowHeader) fit(rowBytes int) ([]byte, error) {
+	for {
+		line, err := json.Marshal(h)
+		switch {
+		case err != nil:
+			return nil, errors.Wrap(err, "encode turn")
+		case len(line) <= rowBytes/headerShare:
+			return line, nil
+		case len(h.Ancestors) <= 1:
+			return nil, errors.Wrapf(ErrTooLarge, "header of %d bytes", len(line))
+		}
+		h.Ancestors = h.Ancestors[:len(h.Ancestors)-1]
 	}
-	// 32 bytes are left for the newline and for More, which is not set yet.
-	textBytes := size - len(line) - 32
-	if len(n.text) <= textBytes {
-		return [][]byte{append(append(line, '\n'), n.text...)}, nil
+}
+
+// encode returns the header and the values of a turn's rows, of at most size bytes each. With
+// split, the rows may be written in several calls.
+func (n *node) encode(size int, split bool) (*rowHeader, [][]byte, error) {
+	header := &rowHeader{Ancestors: n.ancestors}
+	if split {
+		header.Content, header.Bytes = fmt.Sprintf("%016x", xxhash.Sum64(n.text)), len(n.text)
+	}
+	line, err := header.fit(size)
+	if err != nil {
+		return nil, nil, err
 	}
+	textBytes := min(max(0, size-len(line)-headerReserveBytes), len(n.text))
 	rest := n.text[textBytes:]
 	header.More = (len(rest) + size - 1) / size
 	if line, err = json.Marshal(header); err != nil {
-		return nil, errors.Wrap(err, "encode turn")
+		return nil, nil, errors.Wrap(err, "encode turn")
 	}
 	values := [][]byte{append(append(line, '\n'), n.text[:textBytes]...)}
 	for len(rest) > 0 {
 		k := min(size, len(rest))
 		values, rest = append(values, rest[:k]), rest[k:]
 	}
-	return values, nil
+	return header, values, nil
 }
 
-// decode parses the first row of a turn; it also returns the number of additional rows.
-func decode(id string, value []byte) (*node, int, error) {
+// decode parses the first row of a turn; the node has the text of that row.
+func decode(id string, value []byte) (*node, *rowHeader, error) {
 	line, text, ok := bytes.Cut(value, []byte("\n"))
 	var header rowHeader
 	if !ok {
-		return nil, 0, errors.Errorf("row of turn %q has no header line", id)
+		return nil, nil, errors.Errorf("row of turn %q has no header line", id)
 	}
 	if err := json.Unmarshal(line, &header); err != nil {
-		return nil, 0, errors.Wrapf(err, "decode header of turn %q", id)
+		return nil, nil, errors.Wrapf(err, "decode header of turn %q", id)
 	}
-	return &node{id: id, ancestors: header.Ancestors, text: text}, header.More, nil
+	return &node{id: id, ancestors: header.Ancestors, text: text}, &header, nil
 }
