granter: [fix] messages between daemons that carry turns are bounded

Callers saw (found by reading): with turns of several megabytes, a reply of the coordinator carried the whole history, and the call that closes a grant the whole turn. They hold up all other calls on the connection of the two daemons, a write to which may take 0.3 s, and fill the memory of a small VM.

Change: a history of more than 2 MB is left out of the reply, and the caller reads it from the store. A caller of the previous build, which would take it for empty, is told to open the turn itself. A turn of more than 1 MB is not sent when its grant is closed; no turn that could be stored so far is larger.

--- a/internal/granter/fixture_test.go
+++ b/internal/granter/fixture_test.go
@@ -29,6 +29,8 @@
 	// faultEvery makes one in that many calls between daemons fail; zero disables faults.
 	faultEvery int
 	starts     int
+	// onMessage is called with each request and reply between daemons; nil for none.
+	onMessage func(v any)
 	// away are the indices of the daemons that are in another availability zone.
 	away map[int]bool
 }
@@ -144,6 +146,15 @@
 	return list
 }
 
+// observe passes a message between daemons to onMessage.
+func (z *zone) observe(v any) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.onMessage != nil {
+		z.onMessage(v)
+	}
+}
+
 func (z *zone) randomInt(n int) int {
 	z.mu.Lock()
 	defer z.mu.Unlock()
@@ -167,6 +178,7 @@
 	if _, ok := args.(granter.ReturnRequest); ok {
 		callee.returns.Add(1)
 	}
+	d.zone.observe(args)
 	c := &call{service: callee.service, method: method, args: args, done: make(chan struct{})}
 	fault := 0
 	if d.zone.faultEvery > 0 && d.zone.randomInt(d.zone.faultEvery) == 0 {
@@ -192,6 +204,7 @@
 	if fault == 4 {
 		return messenger.ErrNoReply
 	}
+	d.zone.observe(c.reply)
 	switch r := reply.(type) {
 	case *granter.OpenReply:
 		*r = c.reply
--- a/internal/granter/grant.go
+++ b/internal/granter/grant.go
@@ -58,8 +58,12 @@
 	if g.turn.Tokens == 0 && g.persisted == nil {
 		return
 	}
+	kept := g.persisted
+	if kept != nil && len(kept.Text) > maxKeptBytes {
+		kept = nil
+	}
 	s.pendingCloses.Add(1)
-	go (&closeCall{granter: s, coordinator: g.coordinator, request: CloseRequest{ID: g.id, Used: used, Kept: g.persisted}}).run()
+	go (&closeCall{granter: s, coordinator: g.coordinator, request: CloseRequest{ID: g.id, Used: used, Kept: kept}}).run()
 }
 
 // closeCall notifies a coordinator that a turn has ended, with retries. If no
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -215,7 +215,7 @@
 // nor an error if this daemon should open the turn itself.
 func (s *Granter) openAtCoordinator(ctx context.Context, coordinator assigner.Peer, t Turn) (*Grant, error) {
 	id := s.options.Name + "." + strconv.FormatInt(s.sequence.Add(1), 10)
-	q := OpenRequest{ID: id, Turn: t, Left: coordinatorTimeout - replyMargin}
+	q := OpenRequest{ID: id, Turn: t, Left: coordinatorTimeout - replyMargin, ReadsHistory: true}
 	cached, ok := s.turns.CachedChain(t.Parent)
 	if ok {
 		q.Turn.History = false
@@ -248,6 +248,12 @@
 	switch {
 	case t.History && ok:
 		g.chain = cached
+	case r.HistoryOmitted:
+		var err error
+		if g.chain, err = s.turns.Chain(ctx, t.Parent); err != nil {
+			g.Close(0)
+			return nil, errors.WithMessage(err, "read history")
+		}
 	case t.History:
 		g.chain = archivist.NewChain(r.Turns)
 	}
--- a/internal/granter/service.go
+++ b/internal/granter/service.go
@@ -55,6 +55,8 @@
 	// Recall is set if Left also covers a round in which the holders of unused tokens are
 	// asked to return them.
 	Recall bool
+	// ReadsHistory is set if the caller reads a history that the reply omits.
+	ReadsHistory bool
 }
 
 // OpenReply answers an OpenRequest.
@@ -67,6 +69,9 @@
 	Recallable bool
 	// Turns is the history, oldest turn first.
 	Turns []archivist.Turn
+	// HistoryOmitted is set with Granted if the history is too large for a message. The caller
+	// reads it from the store.
+	HistoryOmitted bool
 }
 
 // CloseRequest closes a grant. The grant need not exist, since the caller may not
@@ -74,7 +79,7 @@
 type CloseRequest struct {
 	ID   string
 	Used int
-	// Kept is the turn if it was persisted, and nil otherwise.
+	// Kept is the turn if it was persisted and is small enough for a message, and nil otherwise.
 	Kept *archivist.Turn
 }
 
@@ -131,6 +136,18 @@
 		s.logger.Event("steward", "not opened for a peer").Str("id", q.Turn.ID).Err(err).End()
 		return nil
 	}
+	var turns []archivist.Turn
+	omitted := false
+	if chain != nil {
+		turns = chain.Turns()
+		omitted = !fitsMessage(turns)
+	}
+	if omitted && !q.ReadsHistory {
+		if q.Turn.Tokens > 0 {
+			s.budgets.Finish(q.Turn.Program, q.Turn.Tokens, 0)
+		}
+		return nil
+	}
 	if q.Turn.Tokens > 0 {
 		g := peerGrant{program: q.Turn.Program, tokens: q.Turn.Tokens, expires: time.Now().Add(q.Turn.Lasts + expireMargin)}
 		if !s.grants.add(q.ID, g) {
@@ -139,9 +156,9 @@
 		}
 	}
 	s.served.Add(1)
-	r.Outcome = Granted
-	if chain != nil {
-		r.Turns = chain.Turns()
+	r.Outcome, r.HistoryOmitted = Granted, omitted
+	if !omitted {
+		r.Turns = turns
 	}
 	return nil
 }
