archivist: [fix] histories of large turns take bounded memory

Callers saw (found by reading): histories may consist of up to 4,096 turns, which were read 12 at a time without regard to their size. Now that turns of megabytes can be stored, a few such histories exceed the memory of a VM of 112 MB.

A turn is counted before its additional rows are read, and released with its grant. A history that does not fit fails with ErrMemory. A turn larger than the cache is not cached.

TestHistoriesOfLargeTurnsTakeBoundedMemory needs the new option.

--- a/internal/archivist/archivist.go
+++ b/internal/archivist/archivist.go
@@ -24,6 +24,11 @@
 	maxPlainIDBytes = 150
 	// maxChainTurns bounds the length of a chain, so that reading a corrupt one ends.
 	maxChainTurns = 4096
+	// MaxTurnBytes is the size of the largest turn that is stored. It bounds the memory that a
+	// turn takes.
+	MaxTurnBytes = 16 << 20
+	// MaxInputBytes is the size of the largest request that may begin a turn.
+	MaxInputBytes = MaxTurnBytes / 2
 )
 
 // ErrNoTurn reports that no turn with that id is stored.
@@ -38,6 +43,9 @@
 	RowBytes int
 	// CacheBytes is the size of the cache of recently used turns.
 	CacheBytes int
+	// HistoryBytes limits the large turns in the histories of requests in progress; zero is no
+	// limit.
+	HistoryBytes int
 }
 
 // Archivist persists turns and loads chains of them.
@@ -45,13 +53,14 @@
 	table   storer.Table
 	options Options
 	cache   *cache
+	memory  *memory
 
 	hits, misses, retries atomic.Int64
 }
 
 // New returns an archivist over the table service.
 func New(table storer.Table, o Options) *Archivist {
-	return &Archivist{table: table, options: o, cache: newCache(o.CacheBytes)}
+	return &Archivist{table: table, options: o, cache: newCache(o.CacheBytes), memory: newMemory(o.HistoryBytes)}
 }
 
 // Counts returns the number of turns found in the cache, the number of turns read from
@@ -63,6 +72,16 @@
 // Chain is a history, from its first turn to its last.
 type Chain struct {
 	nodes []*node
+	// lease is the memory of the large turns; nil for none.
+	lease *lease
+}
+
+// Release returns the memory of the history once its request is over. A repeated call has no
+// effect.
+func (c *Chain) Release() {
+	if c != nil {
+		c.lease.release()
+	}
 }
 
 // Len returns the number of turns.
@@ -87,17 +106,29 @@
 }
 
 // Chain returns the history that ends with a turn; an empty id yields the empty history.
-// ErrNoTurn means that a turn of it is not stored; any other error leaves that open.
+// ErrNoTurn means that a turn of it is not stored, and ErrMemory that the history does not fit
+// into the memory for histories; any other error leaves both open. The caller must release
+// the chain.
 func (a *Archivist) Chain(ctx context.Context, id string) (*Chain, error) {
-	c := &Chain{}
+	c := &Chain{lease: &lease{memory: a.memory}}
+	defer c.lease.endReading()
+	if err := a.readChain(ctx, c, id); err != nil {
+		c.Release()
+		return nil, err
+	}
+	return c, nil
+}
+
+// readChain adds the turns of the history that ends with a turn.
+func (a *Archivist) readChain(ctx context.Context, c *Chain, id string) error {
 	prefetched := map[string]*node{}
 	for id != "" {
 		if len(c.nodes) >= maxChainTurns {
-			return nil, errors.Errorf("chain at turn %q is longer than %d turns", id, maxChainTurns)
+			return errors.Errorf("chain at turn %q is longer than %d turns", id, maxChainTurns)
 		}
-		n, err := a.findTurn(ctx, id, prefetched)
+		n, err := a.findTurn(ctx, c.lease, id, prefetched)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		c.nodes = append(c.nodes, n)
 		id = n.parent()
@@ -105,24 +136,24 @@
 	for i, j := 0, len(c.nodes)-1; i < j; i, j = i+1, j-1 {
 		c.nodes[i], c.nodes[j] = c.nodes[j], c.nodes[i]
 	}
-	return c, nil
+	return nil
 }
 
 // findTurn returns a turn from the cache or from the store. With a turn from the store it
 // also reads the ancestors that the turn's row names.
-func (a *Archivist) findTurn(ctx context.Context, id string, prefetched map[string]*node) (*node, error) {
+func (a *Archivist) findTurn(ctx context.Context, l *lease, id string, prefetched map[string]*node) (*node, error) {
 	if n := prefetched[id]; n != nil {
 		return n, nil
 	}
 	if n := a.cache.get(id); n != nil {
 		a.hits.Add(1)
-		return n, nil
+		return n, l.acquire(len(n.text))
 	}
-	n, err := a.readTurn(ctx, id)
+	n, err := a.readTurn(ctx, l, id)
 	if err != nil {
 		return nil, err
 	}
-	f := &prefetch{archivist: a}
+	f := &prefetch{archivist: a, lease: l}
 	for _, other := range n.ancestors {
 		if a.cache.get(other) == nil {
 			f.group.Add(1)
@@ -139,6 +170,7 @@
 // prefetch reads several turns concurrently.
 type prefetch struct {
 	archivist *Archivist
+	lease     *lease
 	group     sync.WaitGroup
 	mu        sync.Mutex
 	nodes     []*node
@@ -147,7 +179,7 @@
 
 func (f *prefetch) run(ctx context.Context, id string) {
 	defer f.group.Done()
-	n, err := f.archivist.readTurn(ctx, id)
+	n, err := f.archivist.readTurn(ctx, f.lease, id)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
@@ -158,7 +190,7 @@
 }
 
 // readTurn reads a turn from the store and caches it.
-func (a *Archivist) readTurn(ctx context.Context, id string) (*node, error) {
+func (a *Archivist) readTurn(ctx context.Context, l *lease, id string) (*node, error) {
 	a.misses.Add(1)
 	row, err := a.table.Get(ctx, key(id, 0))
 	if err != nil {
@@ -171,6 +203,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := l.acquireToRead(ctx, header.Bytes); err != nil {
+		return nil, err
+	}
 	rest, err := a.readRows(ctx, id, header)
 	if err != nil {
 		return nil, err
@@ -185,6 +220,16 @@
 	return n, nil
 }
 
+// Check returns ErrTooLarge if a turn that continues the turn parent and begins with a request
+// of inputBytes can never be stored.
+func (a *Archivist) Check(parent string, inputBytes int) error {
+	if inputBytes > MaxInputBytes {
+		return errors.Wrapf(ErrTooLarge, "request of %d bytes, limit %d", inputBytes, MaxInputBytes)
+	}
+	_, err := (&rowHeader{Ancestors: []string{parent}}).fit(a.options.RowBytes)
+	return err
+}
+
 // Record persists a turn that continues a chain. It returns nil only once the store has
 // acknowledged the write, and retries a failed or ambiguous write until the context ends.
 func (a *Archivist) Record(ctx context.Context, c *Chain, t Turn) error {
@@ -192,6 +237,9 @@
 	if n.parent() != t.Parent {
 		return errors.Errorf("history of turn %q ends with turn %q, not with its parent %q", t.ID, n.parent(), t.Parent)
 	}
+	if len(t.Text) > MaxTurnBytes {
+		return errors.Wrapf(ErrTooLarge, "turn %q of %d bytes", t.ID, len(t.Text))
+	}
 	calls, err := n.calls(a.options.RowBytes)
 	if err != nil {
 		return err
--- a/internal/archivist/cache.go
+++ b/internal/archivist/cache.go
@@ -33,7 +33,7 @@
 func (c *cache) put(n *node) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, ok := c.nodes[n.id]; ok {
+	if _, ok := c.nodes[n.id]; ok || n.size() > c.maxBytes {
 		return
 	}
 	c.nodes[n.id] = c.recency.PushFront(n)
--- a/internal/archivist/cached.go
+++ b/internal/archivist/cached.go
@@ -21,19 +21,23 @@
 }
 
 // CachedChain returns the history that ends with a turn, and false if part of it is not
-// in the cache.
+// in the cache. The caller must release the chain.
 func (a *Archivist) CachedChain(id string) (*Chain, bool) {
+	l := &lease{memory: a.memory}
 	var turns []Turn
 	for id != "" {
 		n := a.cache.get(id)
-		if n == nil || len(turns) >= maxChainTurns {
+		if n == nil || len(turns) >= maxChainTurns || l.acquire(len(n.text)) != nil {
+			l.release()
 			return nil, false
 		}
 		turns = append(turns, Turn{ID: n.id, Parent: n.parent(), Text: n.text})
 		id = n.parent()
 	}
 	slices.Reverse(turns)
-	return NewChain(turns), true
+	c := NewChain(turns)
+	c.lease = l
+	return c, true
 }
 
 // AddToCache caches a turn that another daemon has recorded, if its parent is cached.
--- a/internal/archivist/large_test.go
+++ b/internal/archivist/large_test.go
@@ -6,8 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -177,3 +180,143 @@
 	}
 	return ""
 }
+
+// TestHistoriesOfLargeTurnsTakeBoundedMemory guards against reading histories of large turns
+// until the VM's memory is exceeded: those that do not fit are refused before they are read.
+func TestHistoriesOfLargeTurnsTakeBoundedMemory(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := emulator.NewStore()
+	writer := newLargeArchivist(store)
+	parent := ""
+	for i := range 4 {
+		c, err := writer.Chain(ctx, parent)
+		is.NoErr(err)
+		id := fmt.Sprint("turn-", i)
+		is.NoErr(writer.Record(ctx, c, archivist.Turn{ID: id, Parent: parent, Text: largeText(bodyBytes, id)}))
+		parent = id
+	}
+	for _, cacheBytes := range []int{1, 64 << 20} {
+		a := archivist.New(store, archivist.Options{RowBytes: rowBytes, CacheBytes: cacheBytes, HistoryBytes: 3 * bodyBytes})
+		one, err := a.Chain(ctx, "turn-0")
+		is.NoErr(err)
+		two, err := a.Chain(ctx, "turn-1")
+		is.NoErr(err)
+		reads := store.Counts().Reads
+		_, err = a.Chain(ctx, "turn-1")
+		is.True(errors.Is(err, archivist.ErrMemory)) // Three turns are in use.
+		is.True(store.Counts().Reads-reads <= 4)
+		one.Release()
+		two.Release()
+		two.Release()
+		for range 3 {
+			_, err = a.Chain(ctx, "turn-3")
+			is.True(errors.Is(err, archivist.ErrMemory)) // Never fits, and keeps nothing.
+			three, err := a.Chain(ctx, "turn-2")
+			is.NoErr(err)
+			is.Equal(three.Len(), 3)
+			three.Release()
+		}
+	}
+}
+
+// measuringTable measures the largest live heap during calls.
+type measuringTable struct {
+	storer.Table
+	mu    sync.Mutex
+	calls int
+	peak  uint64
+}
+
+// Get implements storer.Table.
+func (m *measuringTable) Get(ctx context.Context, key string) (storer.Row, error) {
+	m.measure()
+	row, err := m.Table.Get(ctx, key)
+	row.Value = slices.Clone(row.Value) // As if it came over the network.
+	return row, err
+}
+
+func (m *measuringTable) measure() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.calls++; m.calls%5 == 0 {
+		m.peak = max(m.peak, liveHeap())
+	}
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
+
+// TestReadingLargeTurnsTakesTwiceTheirMemory guards against reads whose memory grows with the
+// number of requests or with the length of a history beyond the limit: 12 requests of one
+// history of 12 MB take at most twice the limit of 14 MB, that of a VM of 112 MB.
+func TestReadingLargeTurnsTakesTwiceTheirMemory(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := emulator.NewStore()
+	writer := newLargeArchivist(store)
+	for i := range 3 {
+		c, err := writer.Chain(ctx, []string{"", "t0", "t1"}[i])
+		is.NoErr(err)
+		is.NoErr(writer.Record(ctx, c, archivist.Turn{ID: fmt.Sprint("t", i), Parent: []string{"", "t0", "t1"}[i], Text: largeText(bodyBytes, "abc")}))
+	}
+	writer = nil
+	const limit = 14 << 20
+	table := &measuringTable{Table: store}
+	a := archivist.New(table, archivist.Options{RowBytes: rowBytes, CacheBytes: 1, HistoryBytes: limit})
+	before := liveHeap()
+	var group sync.WaitGroup
+	var served atomic.Int64
+	for range 12 {
+		group.Go(func() {
+			for range 5 {
+				c, err := a.Chain(ctx, "t2")
+				if err != nil {
+					is.True(errors.Is(err, archivist.ErrMemory))
+					time.Sleep(time.Millisecond)
+					continue
+				}
+				served.Add(1)
+				c.Release()
+			}
+		})
+	}
+	group.Wait()
+	is.True(served.Load() >= 5) // Those that are read do not keep each other from being read.
+	t.Logf("%d of 60 histories read, %.1f MB", served.Load(), float64(table.peak-before)/(1<<20))
+	is.True(table.peak-before < 2*limit)
+}
+
+// TestTurnsThatCanNeverBeStored checks that they are known before they run.
+func TestTurnsThatCanNeverBeStored(t *testing.T) {
+	is := is.New(t)
+	a := newLargeArchivist(emulator.NewStore())
+	is.NoErr(a.Check("parent", bodyBytes))
+	is.NoErr(a.Check("", archivist.MaxInputBytes))
+	is.True(errors.Is(a.Check("", archivist.MaxInputBytes+1), archivist.ErrTooLarge))
+	is.True(errors.Is(a.Check(strings.Repeat("x", rowBytes), 1), archivist.ErrTooLarge))
+	c, err := a.Chain(context.Background(), "")
+	is.NoErr(err)
+	err = a.Record(context.Background(), c, archivist.Turn{ID: "t", Text: make([]byte, archivist.MaxTurnBytes+1)})
+	is.True(errors.Is(err, archivist.ErrTooLarge))
+}
+
+// TestLongIdsOfAncestors guards against ids that fill the first row of a turn.
+func TestLongIdsOfAncestors(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := emulator.NewStore()
+	parent := ""
+	for i := range 15 {
+		id := fmt.Sprint(i, strings.Repeat("i", 16<<10))
+		is.NoErr(record(ctx, newLargeArchivist(store), id, parent, "x"))
+		parent = id
+	}
+	c, err := newLargeArchivist(store).Chain(ctx, parent)
+	is.NoErr(err)
+	is.Equal(c.Len(), 15)
+}
--- a/internal/granter/grant.go
+++ b/internal/granter/grant.go
@@ -49,6 +49,7 @@
 // Close ends the turn; used is the number of tokens that it generated.
 func (g *Grant) Close(used int) {
 	s := g.granter
+	g.chain.Release()
 	if g.coordinator.Address == "" {
 		if g.turn.Tokens > 0 {
 			s.budgets.Finish(g.turn.Program, g.turn.Tokens, used)
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -131,6 +131,10 @@
 	}
 }
 
+// Check returns archivist.ErrTooLarge if a turn that begins with a request of inputBytes can
+// never be stored.
+func (s *Granter) Check(t Turn, inputBytes int) error { return s.turns.Check(t.Parent, inputBytes) }
+
 // Open returns a grant for a turn. archivist.ErrNoTurn and budgeter.ErrExhausted are
 // definite; any other error leaves open whether the turn exists and the budget suffices.
 func (s *Granter) Open(ctx context.Context, t Turn) (*Grant, error) {
@@ -169,6 +173,7 @@
 	if h.err == nil && err == nil {
 		return h.chain, nil
 	}
+	h.chain.Release()
 	if t.Tokens > 0 && err == nil {
 		s.budgets.Finish(t.Program, t.Tokens, 0)
 	}
@@ -217,6 +222,12 @@
 	id := s.options.Name + "." + strconv.FormatInt(s.sequence.Add(1), 10)
 	q := OpenRequest{ID: id, Turn: t, Left: coordinatorTimeout - replyMargin, ReadsHistory: true}
 	cached, ok := s.turns.CachedChain(t.Parent)
+	granted := false
+	defer func() {
+		if !granted || !t.History {
+			cached.Release()
+		}
+	}()
 	if ok {
 		q.Turn.History = false
 	}
@@ -245,6 +256,7 @@
 		return nil, errors.WithMessagef(budgeter.ErrExhausted, "reserve budget at coordinator %s", coordinator.Name)
 	}
 	g := &Grant{granter: s, turn: t, coordinator: coordinator, id: id}
+	granted = true
 	switch {
 	case t.History && ok:
 		g.chain = cached
--- a/internal/granter/service.go
+++ b/internal/granter/service.go
@@ -136,6 +136,7 @@
 		s.logger.Event("steward", "not opened for a peer").Str("id", q.Turn.ID).Err(err).End()
 		return nil
 	}
+	defer chain.Release()
 	var turns []archivist.Turn
 	omitted := false
 	if chain != nil {
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -82,6 +82,9 @@
 	peerDialTimeout = 500 * time.Millisecond
 	// turnsCacheDivisor is the inverse of the fraction of memory for the cache of histories.
 	turnsCacheDivisor = 12
+	// historiesDivisor is the inverse of the fraction of memory for the large turns in the
+	// histories of requests in progress.
+	historiesDivisor = 8
 )
 
 // Daemon is one process that forwards client requests to replicas.
@@ -148,7 +151,7 @@
 	d.relayer = relayer.New(d.store, d.logger, relayer.Options{
 		VM: o.VM, Process: o.Name, Zone: o.Zone, OtherZones: o.OtherZones, Address: o.PeerAddress, Dial: dialPeer, Listen: listen,
 	})
-	d.turns = archivist.New(d.relayer, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsCacheDivisor)})
+	d.turns = archivist.New(d.relayer, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsCacheDivisor), HistoryBytes: int(o.MemoryBytes / historiesDivisor)})
 	d.budgets = budgeter.Start(ctx, d.relayer, o.Name)
 	d.programs = granter.Start(ctx, d.turns, d.budgets, d.relayer, d.logger, granter.Options{VM: o.VM, Name: o.Name, Elsewhere: d.relayer.ElsewhereNow})
 	d.placements = selector.Start(ctx, d.tracker, d.relayer, d.logger, selector.Options{
