forwarder: [fix] a turn that can never be stored is refused before it runs

Callers saw (found by reading): a turn that is too large to be stored ran, and the end of its stream was held back until the deadline.

Change: a request of over 8 MB on a route that retains turns, or one that names a parent whose id fills half of a row, gets 413 (1008) before it runs. A turn whose history does not fit into memory gets 503 (2003) with a time to retry, before it runs. Output that makes the turn larger than 16 MB ends the stream at once; it was collected for as long as the deadline allowed.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"pimentorail.example/pimentorail/internal/archivist"
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/selector"
@@ -259,6 +260,10 @@
 			f.writeHead(w, j, e.Response)
 		}
 		j.turn.addEvent(ev, j.service.EventTokens)
+		if j.turn.isTooLarge() {
+			j.cause = errors.Wrap(archivist.ErrTooLarge, "add event to turn")
+			return truncated
+		}
 		if _, err = w.Write(ev.raw); err == nil {
 			err = flusher.Flush()
 		}
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -81,6 +81,9 @@
 	// callerGone receives a value when a replica sees that its caller has disconnected.
 	callerGone chan struct{}
 	lastID     int
+	// rowBytes and historyBytes configure the archivist, and storeTimeout the forwarder.
+	rowBytes, historyBytes int
+	storeTimeout           time.Duration
 }
 
 // behaviour is a replica's handler.
@@ -89,7 +92,7 @@
 func newFixture(t *testing.T, replicas ...behaviour) *fixture {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fixture{t: t, store: emulator.NewStore(), catalog: &cataloger.Keeper{}, tracker: tracker.New(tracker.Options{}), callerGone: make(chan struct{}, 8)}
+	f := &fixture{t: t, rowBytes: 1000, storeTimeout: 100 * time.Millisecond, store: emulator.NewStore(), catalog: &cataloger.Keeper{}, tracker: tracker.New(tracker.Options{}), callerGone: make(chan struct{}, 8)}
 	var list []*tracker.Replica
 	for i, b := range replicas {
 		s := httptest.NewServer(f.record(i, b))
@@ -109,14 +112,14 @@
 
 // startForwarder starts a forwarder with empty memory, in place of an earlier one.
 func (f *fixture) startForwarder(ctx context.Context) {
-	turns := archivist.New(f.store, archivist.Options{RowBytes: 1000, CacheBytes: 10_000})
+	turns := archivist.New(f.store, archivist.Options{RowBytes: f.rowBytes, CacheBytes: 10_000, HistoryBytes: f.historyBytes})
 	lines := logger.Start(ctx, io.Discard)
 	f.forwarder = forwarder.New(forwarder.Dependencies{
 		Catalog: f.catalog, Placements: selector.Start(ctx, f.tracker, nil, lines, selector.Options{}), Programs: granter.Start(ctx, turns, budgeter.Start(ctx, f.store, "me"), nil, lines, granter.Options{}), Logger: lines,
 		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
 		Versions: versioner.Start(ctx, f.store), Connector: connector.New(),
 		Scope: tally.NoopScope, Codec: testCodec{},
-	}, forwarder.Options{StoreTimeout: 100 * time.Millisecond, RetryAfter: time.Second, OutageRetryAfter: time.Second})
+	}, forwarder.Options{StoreTimeout: f.storeTimeout, RetryAfter: time.Second, OutageRetryAfter: time.Second})
 }
 
 // applyRoutes configures routes of all kinds.
--- a/internal/forwarder/turn.go
+++ b/internal/forwarder/turn.go
@@ -39,6 +39,11 @@
 			t.Tokens = q.Budget
 		}
 	}
+	if r.Retain {
+		if err := f.programs.Check(t, len(q.Body)); err != nil {
+			return nil, classifier.New(classifier.TooLarge, classifier.RanNo, "%v", err)
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.options.StoreTimeout)
 	defer cancel()
 	grant, err := f.programs.Open(ctx, t)
@@ -47,6 +52,8 @@
 		return nil, classifier.New(classifier.NoSuchTurn, classifier.RanNo, "turn %q is not stored", q.Parent)
 	case errors.Is(err, budgeter.ErrExhausted):
 		return nil, classifier.New(classifier.BudgetExhausted, classifier.RanNo, "the remaining budget of program %q is less than %d tokens", q.Program, t.Tokens)
+	case errors.Is(err, archivist.ErrMemory):
+		return nil, classifier.New(classifier.Overloaded, classifier.RanNo, "%v", err).After(f.retryAfter())
 	case err != nil:
 		return nil, classifier.New(classifier.StoreAway, classifier.RanNo, "%v", err).After(withJitter(f.options.OutageRetryAfter))
 	}
@@ -84,6 +91,11 @@
 	}
 }
 
+// isTooLarge reports whether the turn's text is too large to be stored.
+func (t *turn) isTooLarge() bool {
+	return t != nil && t.chain() != nil && len(t.input)+len(t.output) > archivist.MaxTurnBytes
+}
+
 // persist stores the turn in the history. It is called before the client's stream ends.
 func (f *Forwarder) persist(ctx context.Context, t *turn) error {
 	if t == nil || t.chain() == nil {
