budgeter: [fix] an evicted view is not used by calls that found it before

Found by reading, not seen: a call that had found the view of a program, and went on only after the view was evicted (90 s later, after a freeze of the daemon), reserved or returned tokens with it, while a later use takes the number of tokens from the remembered view. The two could have used the same tokens.

Change: an evicted view is marked under the lock of its row, and a call that gets it looks it up again.

No test shows the interleaving.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -74,6 +74,8 @@
 	// keepsUnused is set if the last settlement left unused tokens here because the budget was
 	// not nearly spent by the row as it was known.
 	keepsUnused bool
+	// evicted is set once the view is no longer used, since another one may act for its holder.
+	evicted bool
 
 	// The fields below are guarded by the budgeter's mutex.
 	reserved, spent int
@@ -113,16 +115,35 @@
 // budget, in tokens. It returns a Denial, which is an ErrExhausted, if the row does not leave
 // them, and the store's error if that is unknown.
 func (b *Budgeter) Reserve(ctx context.Context, name string, limit, tokens int) error {
-	p := b.getOrCreate(name, limit, tokens)
+	for {
+		p := b.getOrCreate(name, limit, tokens)
+		current, err := p.lock(ctx)
+		if err != nil {
+			return err
+		}
+		if current {
+			defer p.unlock()
+			return b.reserve(ctx, p, limit, tokens)
+		}
+	}
+}
+
+// lock locks the row, unless the view has been evicted since the caller found it.
+func (p *program) lock(ctx context.Context) (current bool, err error) {
 	select {
 	case p.rowLock <- struct{}{}:
 	case <-ctx.Done():
-		return errors.Wrap(storer.ErrUnavailable, "the context ended before the lock of the budget row was free")
+		return false, errors.Wrap(storer.ErrUnavailable, "the context ended before the lock of the budget row was free")
+	}
+	if p.evicted {
+		p.unlock()
+		return false, nil
 	}
-	defer func() { <-p.rowLock }()
-	return b.reserve(ctx, p, limit, tokens)
+	return true, nil
 }
 
+func (p *program) unlock() { <-p.rowLock }
+
 func newProgram(name, holder string) *program {
 	return &program{name: name, holder: holder, rowLock: make(chan struct{}, 1), lastUsed: time.Now()}
 }
@@ -351,7 +372,10 @@
 		b.markDirty(p)
 		return
 	}
-	defer func() { <-p.rowLock }()
+	defer p.unlock()
+	if p.evicted {
+		return
+	}
 	b.mu.Lock()
 	held, threshold := p.spent+p.reserved, nearLimitTurns*p.largestTurn
 	remaining := p.limit - p.row.heldByOthers(p.holder) - p.row.Held[p.holder]
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -59,7 +59,8 @@
 
 // TestBudgetsAgainstAnOracle runs turns of one program at daemons that are replaced by new
 // processes at random times, over a store with lost, delayed and refused writes. The
-// tokens spent and reserved must never exceed the budget.
+// tokens spent and reserved must never exceed the budget, also if daemons return unused tokens
+// and forget programs that are not used.
 func TestBudgetsAgainstAnOracle(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
@@ -118,7 +119,7 @@
 }
 
 func (s *simulation) randomStep(d int) {
-	switch s.rand.IntN(7) {
+	switch s.rand.IntN(8) {
 	case 0:
 		s.daemons[d] = s.startDaemon() // The previous process reserves nothing more.
 	case 1, 2:
@@ -133,6 +134,13 @@
 		r.daemon.Finish("p", r.tokens, used)
 	case 3:
 		time.Sleep(time.Duration(s.rand.IntN(1000)) * time.Millisecond)
+		if s.rand.IntN(6) == 0 {
+			time.Sleep(100 * time.Second) // Unused programs are evicted.
+		}
+	case 4:
+		ctx, cancel := context.WithTimeout(s.ctx, 200*time.Millisecond)
+		defer cancel()
+		_, _ = s.daemons[d].ReturnUnused(ctx, "p")
 	default:
 		tokens := 1 + s.rand.IntN(200)
 		ctx, cancel := context.WithTimeout(s.ctx, 200*time.Millisecond)
--- a/internal/budgeter/giveback.go
+++ b/internal/budgeter/giveback.go
@@ -13,19 +13,22 @@
 // writes nothing and returns false if no more are held. After an error, the outcome is in
 // doubt.
 func (b *Budgeter) ReturnUnused(ctx context.Context, name string) (changed bool, err error) {
-	b.mu.Lock()
-	p := b.find(name)
-	b.mu.Unlock()
-	if p == nil {
-		return false, nil
-	}
-	select {
-	case p.rowLock <- struct{}{}:
-	case <-ctx.Done():
-		return false, errors.Wrap(storer.ErrUnavailable, "the context ended before the lock of the budget row was free")
+	for {
+		b.mu.Lock()
+		p := b.find(name)
+		b.mu.Unlock()
+		if p == nil {
+			return false, nil
+		}
+		current, err := p.lock(ctx)
+		if err != nil {
+			return false, err
+		}
+		if current {
+			defer p.unlock()
+			return b.returnUnused(ctx, p)
+		}
 	}
-	defer func() { <-p.rowLock }()
-	return b.returnUnused(ctx, p)
 }
 
 // returnUnused implements ReturnUnused; the caller holds the program's rowLock.
--- a/internal/budgeter/retired.go
+++ b/internal/budgeter/retired.go
@@ -47,7 +47,8 @@
 	default:
 		return
 	}
-	defer func() { <-p.rowLock }()
+	defer p.unlock()
+	p.evicted = true
 	delete(b.programs, p.name)
 	held := p.row.Held[p.holder]
 	if held <= p.spent || p.inDoubt {
--- a/internal/granter/recall_test.go
+++ b/internal/granter/recall_test.go
@@ -193,7 +193,11 @@
 			if m.faulty {
 				m.zone.start(m.rand.IntN(6))
 			}
-			time.Sleep(time.Duration(m.rand.IntN(1500)) * time.Millisecond)
+			pause := time.Duration(m.rand.IntN(1500)) * time.Millisecond
+			if m.rand.IntN(8) == 0 {
+				pause = 100 * time.Second // Unused programs are evicted.
+			}
+			time.Sleep(pause)
 		default:
 			if failure := m.openTurn(i); failure != "" {
 				return failure
