--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -13,7 +13,9 @@
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
-// ErrExhausted reports that the budget does not cover the tokens of the turn.
+// ErrExhausted reports that the budget does not cover the tokens of the turn, as far as they
+// are not spent or held for others. It is definite once the holders have been asked to return
+// what they do not need.
 var ErrExhausted = errors.New("budgeter: budget is exhausted")
 
 const (
@@ -44,6 +46,7 @@
 
 	mu       sync.Mutex
 	programs map[string]*program
+	retired  *retired
 	// lastHolder is the number of the last holder; each program loaded gets the next one.
 	lastHolder int
 
@@ -54,7 +57,7 @@
 type program struct {
 	name string
 	// holder names this view in the row. A program that is used again after its eviction
-	// gets a new holder, so that the tokens spent under the earlier one still count.
+	// keeps its holder if the tokens spent under it are remembered, and else gets a new one.
 	holder string
 	// rowLock is held while the row is read or written. It is a channel so that waiting
 	// for it ends with a context.
@@ -68,6 +71,11 @@
 	// held by this daemon, so nothing is reserved from the current row until a later write
 	// has changed its version.
 	inDoubt bool
+	// keepsUnused is set if the last settlement left unused tokens here because the budget was
+	// not nearly spent by the row as it was known.
+	keepsUnused bool
+	// evicted is set once the view is no longer used, since another one may act for its holder.
+	evicted bool
 
 	// The fields below are guarded by the budgeter's mutex.
 	reserved, spent int
@@ -80,7 +88,7 @@
 // Start returns a budgeter that settles programs until the context ends. The name
 // process identifies this process; no earlier or later process may have it.
 func Start(ctx context.Context, table storer.Table, process string) *Budgeter {
-	b := &Budgeter{table: table, process: process, programs: map[string]*program{}}
+	b := &Budgeter{table: table, process: process, programs: map[string]*program{}, retired: newRetired()}
 	b.tomb, _ = tomb.WithContext(ctx)
 	b.tomb.Go(b.run)
 	return b
@@ -104,27 +112,58 @@
 }
 
 // Reserve reserves tokens of a program's budget for a turn; limit is the program's whole
-// budget, in tokens. It returns ErrExhausted if the budget definitely does not cover them,
-// and the store's error if that is unknown.
+// budget, in tokens. It returns a Denial, which is an ErrExhausted, if the row does not leave
+// them, and the store's error if that is unknown.
 func (b *Budgeter) Reserve(ctx context.Context, name string, limit, tokens int) error {
-	p := b.getOrCreate(name, limit, tokens)
+	for {
+		p := b.getOrCreate(name, limit, tokens)
+		current, err := p.lock(ctx)
+		if err != nil {
+			return err
+		}
+		if current {
+			defer p.unlock()
+			return b.reserve(ctx, p, limit, tokens)
+		}
+	}
+}
+
+// lock locks the row, unless the view has been evicted since the caller found it.
+func (p *program) lock(ctx context.Context) (current bool, err error) {
 	select {
 	case p.rowLock <- struct{}{}:
 	case <-ctx.Done():
-		return errors.Wrap(storer.ErrUnavailable, "the context ended before the lock of the budget row was free")
+		return false, errors.Wrap(storer.ErrUnavailable, "the context ended before the lock of the budget row was free")
+	}
+	if p.evicted {
+		p.unlock()
+		return false, nil
+	}
+	return true, nil
+}
+
+func (p *program) unlock() { <-p.rowLock }
+
+func newProgram(name, holder string) *program {
+	return &program{name: name, holder: holder, rowLock: make(chan struct{}, 1), lastUsed: time.Now()}
+}
+
+// find returns the view of a program, nil if there is none. The caller holds b.mu.
+func (b *Budgeter) find(name string) *program {
+	if p := b.programs[name]; p != nil {
+		return p
 	}
-	defer func() { <-p.rowLock }()
-	return b.reserve(ctx, p, limit, tokens)
+	return b.revive(name)
 }
 
 // getOrCreate returns the view of a program, marked as used now.
 func (b *Budgeter) getOrCreate(name string, limit, tokens int) *program {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.programs[name]
+	p := b.find(name)
 	if p == nil {
 		b.lastHolder++
-		p = &program{name: name, holder: b.process + "." + strconv.Itoa(b.lastHolder), rowLock: make(chan struct{}, 1)}
+		p = newProgram(name, b.process+"."+strconv.Itoa(b.lastHolder))
 		b.programs[name] = p
 	}
 	p.lastUsed = time.Now()
@@ -142,7 +181,7 @@
 		b.mu.Unlock()
 		if p.row.heldByOthers(p.holder)+want > limit {
 			if reloaded {
-				return ErrExhausted
+				return newDenial(p.row, b.process)
 			}
 			if err := b.loadRow(ctx, p); err != nil {
 				return err
@@ -240,7 +279,7 @@
 		if err != nil {
 			return false
 		}
-		p.setRow(state, r.Version)
+		b.setRow(p, state, r.Version)
 		return true
 	}
 	return false
@@ -255,15 +294,20 @@
 	if err != nil {
 		return err
 	}
-	p.setRow(state, r.Version)
+	b.setRow(p, state, r.Version)
 	return nil
 }
 
 // setRow stores a row that was read. Once the row's version has changed, no earlier
-// write in doubt can take effect any more.
-func (p *program) setRow(r row, version uint64) {
+// write in doubt can take effect any more, and unused tokens that were not needed by others
+// may be needed.
+func (b *Budgeter) setRow(p *program, r row, version uint64) {
 	if version != p.version {
 		p.inDoubt = false
+		if p.keepsUnused {
+			p.keepsUnused = false
+			b.markDirty(p)
+		}
 	}
 	p.row, p.version = r, version
 }
@@ -299,10 +343,10 @@
 	now := time.Now()
 	var due []*program
 	b.mu.Lock()
-	for name, p := range b.programs {
+	for _, p := range b.programs {
 		switch {
 		case now.Sub(p.lastUsed) > evictAfter && p.reserved == 0:
-			delete(b.programs, name)
+			b.evict(p)
 		case p.dirty && now.Sub(p.lastUsed) > settleAfter:
 			p.dirty = false
 			due = append(due, p)
@@ -315,35 +359,48 @@
 }
 
 // settleOne lowers the tokens held by this daemon to those spent or reserved. It writes
-// nothing if no more are held, if the remaining budget covers nearLimitTurns turns of the
-// largest size, or if the row is locked.
+// nothing if no more are held, if the remaining budget, by the row as this daemon last saw
+// it, covers nearLimitTurns turns of the largest size, or if the row is locked. It is called
+// again once another version of the row is known, or the row may be free.
 func (b *Budgeter) settleOne(ctx context.Context, p *program) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	select {
 	case p.rowLock <- struct{}{}:
 	default:
-		// A reservation or another settlement has locked the row. The next Finish marks the
-		// program as dirty again.
+		// A reservation that fails is followed by no Finish, so the program is marked here.
+		b.markDirty(p)
+		return
+	}
+	defer p.unlock()
+	if p.evicted {
 		return
 	}
-	defer func() { <-p.rowLock }()
 	b.mu.Lock()
 	held, threshold := p.spent+p.reserved, nearLimitTurns*p.largestTurn
 	remaining := p.limit - p.row.heldByOthers(p.holder) - p.row.Held[p.holder]
 	b.mu.Unlock()
-	if held >= p.row.Held[p.holder] || remaining >= threshold {
+	switch {
+	case held >= p.row.Held[p.holder]:
+		return
+	case remaining >= threshold:
+		p.keepsUnused = true
 		return
 	}
 	if err := b.writeRow(ctx, p, held); err != nil {
 		// One line per program would flood the log in an outage; only the count is logged.
 		b.unsettled.Add(1)
-		b.mu.Lock()
-		p.dirty = true
-		b.mu.Unlock()
+		b.markDirty(p)
 	}
 }
 
+// markDirty makes the next scan check the program again.
+func (b *Budgeter) markDirty(p *program) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.dirty = true
+}
+
 // Settle settles, in preparation for a planned stop, the programs with turns that finished
 // since their last settlement. Like settleOne, it skips those whose budget is not nearly
 // spent and those whose row is locked.
--- a/internal/granter/grant.go
+++ b/internal/granter/grant.go
@@ -49,6 +49,7 @@
 // Close ends the turn; used is the number of tokens that it generated.
 func (g *Grant) Close(used int) {
 	s := g.granter
+	g.chain.Release()
 	if g.coordinator.Address == "" {
 		if g.turn.Tokens > 0 {
 			s.budgets.Finish(g.turn.Program, g.turn.Tokens, used)
@@ -58,8 +59,12 @@
 	if g.turn.Tokens == 0 && g.persisted == nil {
 		return
 	}
+	kept := g.persisted
+	if kept != nil && len(kept.Text) > maxKeptBytes {
+		kept = nil
+	}
 	s.pendingCloses.Add(1)
-	go (&closeCall{granter: s, coordinator: g.coordinator, request: CloseRequest{ID: g.id, Used: used, Kept: g.persisted}}).run()
+	go (&closeCall{granter: s, coordinator: g.coordinator, request: CloseRequest{ID: g.id, Used: used, Kept: kept}}).run()
 }
 
 // closeCall notifies a coordinator that a turn has ended, with retries. If no
