tunneler,server,tracker: [fix] killed peers no longer hide the crash of a replica

A daemon whose peers had been killed sent a request that crashes replicas to them again and again. It counts a crash only after a peer has confirmed that nothing listens at the replica's address, and killed peers stay known and never answer. Peers were asked one after the other, 250 ms each, so that three frozen ones used up the 500 ms that package isolator waits, even if a fourth knew.

Now up to four peers are asked at the same time, and four others if none has answered after 100 ms; the whole takes at most 300 ms. A peer that reaches the replica contradicts, one that is refused confirms, and one that answers but can't tell keeps the question open, as before. If no peer answers, the own refused connection counts if this daemon reaches another replica, which it dials meanwhile. A daemon that reaches neither peers nor replicas counts no crash. Peers that failed a moment ago are asked last instead of not at all, since leaving them out would look like silence. The decision is a function without clock or socket (evidence).

TestEndedReplicasAreToldFromCutLinks passes the new argument and expects the same.

--- a/internal/server/links.go
+++ b/internal/server/links.go
@@ -8,13 +8,14 @@
 )
 
 // hasEnded reports whether the process of a replica at an address has ended. A refused
-// connection may also mean that the link is cut, so peers are asked as well.
+// connection may also mean that the link is cut, so peers are asked as well. If none of them
+// answers, it counts only if this daemon reaches other replicas.
 func (d *Daemon) hasEnded(ctx context.Context, address string) bool {
 	if !connector.Refused(ctx, address) {
 		return false
 	}
 	r := d.tracker.AtAddress(address)
-	return r == nil || d.tunnels.Ended(ctx, r)
+	return r == nil || d.tunnels.Ended(ctx, r, (&reach{daemon: d, address: address}).run)
 }
 
 // logCutOff logs when this daemon no longer reaches any replica itself, and when it does again.
--- a/internal/tunneler/fixture_test.go
+++ b/internal/tunneler/fixture_test.go
@@ -30,8 +30,10 @@
 	// own attempts.
 	cut       bool
 	dialError error
-	conns     []net.Conn
-	asked     int
+	// frozen daemons accept connections and answer nothing.
+	frozen bool
+	conns  []net.Conn
+	asked  int
 }
 
 // DialDirectly implements tunneler.Links.
@@ -84,6 +86,12 @@
 }
 
 func (s *served) run() {
+	s.node.mu.Lock()
+	frozen := s.node.frozen
+	s.node.mu.Unlock()
+	if frozen {
+		return // The fixture closes the connection at its end.
+	}
 	defer s.conn.Close()
 	s.node.service.ServeStream(s.conn)
 }
--- /dev/null
+++ b/internal/tunneler/inquiry.go
@@ -0,0 +1,113 @@
+package tunneler
+
+import (
+	"context"
+	"time"
+
+	"pimentorail.example/pimentorail/internal/assigner"
+)
+
+const (
+	// inquiryTimeout bounds an inquiry. Package isolator waits 500 ms for the result, and this
+	// daemon's own connection comes before it.
+	inquiryTimeout = 300 * time.Millisecond
+	// hedgeDelay is how long the first peers may be silent until further ones are asked, too.
+	// A peer in the region answers within a few milliseconds.
+	hedgeDelay = 100 * time.Millisecond
+)
+
+// inquiry asks peers whether they reach a replica. It asks a few at the same time, and as many
+// others if none of them answers.
+type inquiry struct {
+	tunneler *Tunneler
+	header   header
+	// reaches reports whether this daemon reaches another replica itself.
+	reaches func(context.Context) bool
+	answers chan answer
+	reached chan bool
+}
+
+// answer is what one peer said. Its status is not valid if there is an error.
+type answer struct {
+	peer   assigner.Peer
+	status status
+	err    error
+}
+
+func newInquiry(t *Tunneler, h header, reaches func(context.Context) bool) *inquiry {
+	return &inquiry{tunneler: t, header: h, reaches: reaches, answers: make(chan answer, rounds*(maxOwnZone+maxElsewhere)), reached: make(chan bool, 1)}
+}
+
+// run returns what was found once nothing further can change it, or at the timeout.
+func (q *inquiry) run(ctx context.Context, zone, elsewhere []assigner.Peer) evidence {
+	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
+	defer cancel()
+	e := evidence{peers: len(zone) + len(elsewhere), answers: map[status]int{}}
+	asked := q.tunneler.candidates.rounds(zone, elsewhere, time.Now())
+	pending, checked := q.ask(ctx, asked[0]), false
+	hedge := time.After(hedgeDelay) // Nil once it is not needed.
+	for {
+		if hedge != nil && pending == 0 && e.silent() {
+			hedge, pending = nil, q.askFurther(ctx, asked[1])
+		}
+		if e.contradicted() || pending == 0 && (checked || !e.silent()) {
+			return e
+		}
+		select {
+		case a := <-q.answers:
+			pending--
+			q.note(&e, a)
+		case <-hedge:
+			hedge = nil
+			if e.silent() {
+				pending += q.askFurther(ctx, asked[1])
+			}
+		case e.reaches = <-q.reached:
+			checked = true
+		case <-ctx.Done():
+			return e
+		}
+	}
+}
+
+// askFurther asks more peers, none of which may answer either, and checks meanwhile whether
+// this daemon is cut off itself.
+func (q *inquiry) askFurther(ctx context.Context, peers []assigner.Peer) int {
+	go q.check(ctx)
+	return q.ask(ctx, peers)
+}
+
+// ask asks peers and returns their number.
+func (q *inquiry) ask(ctx context.Context, peers []assigner.Peer) int {
+	for _, p := range peers {
+		go question{q, p}.run(ctx)
+	}
+	return len(peers)
+}
+
+// check finds out whether this daemon reaches another replica.
+func (q *inquiry) check(ctx context.Context) { q.reached <- q.reaches(ctx) }
+
+// note adds an answer to the evidence.
+func (q *inquiry) note(e *evidence, a answer) {
+	if a.err == nil {
+		e.answers[a.status]++
+	}
+	if a.err != nil || a.status == cutOff || a.status == busy {
+		q.tunneler.candidates.avoid(a.peer.Address, time.Now())
+	}
+}
+
+// question asks one peer.
+type question struct {
+	inquiry *inquiry
+	peer    assigner.Peer
+}
+
+func (q question) run(ctx context.Context) {
+	c, s, err := q.inquiry.tunneler.open(ctx, q.peer, q.inquiry.header)
+	if c != nil {
+		_ = c.Close()
+	}
+	q.inquiry.answers <- answer{q.peer, s, err}
+}
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -60,21 +60,35 @@
 	return nil, err
 }
 
-// Ended reports whether no process listens at a replica's address, as far as peers tell. It
-// returns false if none of them knows, and true if there are none.
-func (t *Tunneler) Ended(ctx context.Context, r *tracker.Replica) bool {
-	c, seen, err := t.ask(ctx, r)
-	if err == nil {
-		_ = c.Close()
-		return false
+// Ended reports whether the process of a replica has ended, after this daemon's own connection
+// was refused: peers confirm it, or none of them can be asked and this daemon is not cut off
+// itself. The function reaches reports whether it reaches another replica. Ended takes at most
+// 300 ms unless the peers of other zones must be read first.
+func (t *Tunneler) Ended(ctx context.Context, r *tracker.Replica, reaches func(context.Context) bool) bool {
+	e := newInquiry(t, t.newHeader(r), reaches).run(ctx, t.peers.Others(), t.peers.Elsewhere(ctx))
+	ended := e.ended() && !isOver(ctx)
+	if e.silent() && e.peers > 0 {
+		t.logger.Event("tunneler", "no peer answers").Str("replica", r.ID).Int("peers", e.peers).Bool("replicas-reached", e.reaches).Bool("ended", ended).End()
 	}
-	return seen[refused] > 0 || len(t.peers.Others())+len(t.peers.Elsewhere(ctx)) == 0
+	return ended
+}
+
+// isOver reports whether a context has ended. Reads of a connection fail at its deadline, which
+// may be just before it ends.
+func isOver(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
+// newHeader returns the header of the next tunnel.
+func (t *Tunneler) newHeader(r *tracker.Replica) header {
+	return header{ID: t.name + "." + strconv.FormatInt(t.sequence.Add(1), 10), Replica: r.ID, StartedMS: r.StartedMS}
 }
 
 // ask asks peers for a connection until one opens it, and counts their answers.
 func (t *Tunneler) ask(ctx context.Context, r *tracker.Replica) (*Conn, map[status]int, error) {
 	seen := map[status]int{}
-	h := header{ID: t.name + "." + strconv.FormatInt(t.sequence.Add(1), 10), Replica: r.ID, StartedMS: r.StartedMS}
+	h := t.newHeader(r)
 	for _, p := range t.candidates.choose(t.peers.Others(), t.peers.Elsewhere(ctx), time.Now()) {
 		c, s, err := t.open(ctx, p, h)
 		if ctx.Err() != nil {
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -151,7 +151,7 @@
 				n.cut, n.dialError = row.cut, row.err
 			}
 			u := f.tunneler()
-			is.Equal(u.Ended(context.Background(), f.replica), row.ended)
+			is.Equal(u.Ended(context.Background(), f.replica, reach(true).check), row.ended)
 			_, err := u.Dial(context.Background(), f.replica)
 			is.Equal(err == nil, row.err == nil && !row.cut)
 			// Only peers that tried say something about the replica.
