relayer: [fix] killed daemons are no longer members for ever

A daemon that was killed, and whose VM did not come back under its name, stayed in the list of members at every other daemon until their restart, and its row stayed in the store for good. Calls were sent to it, and estimateDaemons counted it, which lowered every other daemon's share of a replica's connections. Rows were written once, at the start, and only a planned stop deleted them.

Each daemon now writes its row again every 100 to 140 s with a new field, renewed_ms. A row that was read for five minutes without a new version is questionable; its daemon is called (Relay.Join, which the previous build knows) every 5 s, and after three calls without an answer the row names no peer. So nobody vanishes while the store is down or takes no writes, and rows of the previous build, which has no renewal, stay valid as long as their daemons answer. The time between two reads counts for at most 10 s. One of the daemons that renew their rows (rendezvous hash) removes a dead row, with the version it read as a condition, at most four per 5 s and each at most once a minute, and only if a peer answers it or there is none. A row without a renewal is removed after 30 minutes of silence, since its daemon would not write it again. A daemon that wakes up or finds its own row missing writes it at once and announces itself. Renewals have the version of the row as a condition, so that none in doubt brings a row back after a planned stop. A row whose address another daemon has now is not kept alive by that one's answers. MemberCount and Others leave the dead out.

The fake store of the tests now reports removals, as the store does.

--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -14,14 +14,21 @@
 type member struct {
 	// Address is the daemon's address for peers, as host:port.
 	Address string `json:"address"`
+	// RenewedMS is when the row was last written, in Unix milliseconds. It is zero in the rows
+	// of the previous build, which are written once.
+	RenewedMS int64 `json:"renewed_ms,omitempty"`
 }
 
 // members holds the peers of this daemon in its availability zone.
 type members struct {
-	self string
+	self, address, table string
 
 	mu    sync.Mutex
 	peers map[string]peer
+	// readAt is when the rows were last read.
+	readAt time.Time
+	// missing is set while this daemon's own row is known to be missing.
+	missing bool
 	// list is an immutable list of the peers, replaced on each change and read without mu.
 	list atomic.Pointer[[]assigner.Peer]
 }
@@ -31,16 +38,20 @@
 	address string
 	// avoidUntil is the time until which no call is relayed to it, after a failure.
 	avoidUntil time.Time
+	lifetime   lifetime
 }
 
-func newMembers(self string) *members { return &members{self: self, peers: map[string]peer{}} }
+func newMembers(self, address, table string) *members {
+	return &members{self: self, address: address, table: table, peers: map[string]peer{}}
+}
 
 // Replace implements follower.Sink.
 func (m *members) Replace(rows []storer.Row, _ uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.ageLocked(time.Now())
 	old := m.peers
-	m.peers = map[string]peer{}
+	m.peers, m.missing = map[string]peer{}, true
 	for _, r := range rows {
 		m.add(r, old)
 	}
@@ -51,8 +62,10 @@
 func (m *members) Update(changes []storer.Change, _ uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.ageLocked(time.Now())
 	for _, c := range changes {
 		if c.Removed {
+			m.missing = m.missing || c.Name() == m.self
 			delete(m.peers, c.Name())
 			continue
 		}
@@ -61,11 +74,24 @@
 	m.updateList()
 }
 
+// ageLocked records a read of the rows.
+func (m *members) ageLocked(now time.Time) {
+	if !m.readAt.IsZero() {
+		for name, p := range m.peers {
+			p.lifetime.age(now.Sub(m.readAt))
+			m.peers[name] = p
+		}
+	}
+	m.readAt = now
+}
+
 // updateList rebuilds the immutable list of all peers.
 func (m *members) updateList() {
 	list := make([]assigner.Peer, 0, len(m.peers))
 	for name, p := range m.peers {
-		list = append(list, assigner.Peer{Name: name, Address: p.address})
+		if !p.lifetime.expired() {
+			list = append(list, assigner.Peer{Name: name, Address: p.address})
+		}
 	}
 	m.list.Store(&list)
 }
@@ -76,15 +102,21 @@
 // StoreRecovered implements follower.Sink.
 func (m *members) StoreRecovered() {}
 
-// add adds the peer of a member row and keeps its avoidUntil from old.
+// add adds the peer of a member row and keeps the rest of its state from old.
 func (m *members) add(r storer.Row, old map[string]peer) {
 	var value member
 	name := r.Name()
-	if name == m.self || json.Unmarshal(r.Value, &value) != nil || value.Address == "" {
-		return // This daemon's own row, or one that has no valid address.
+	if name == m.self {
+		m.missing = false
+		return
+	}
+	if json.Unmarshal(r.Value, &value) != nil || value.Address == "" {
+		return // A row that has no valid address.
 	}
 	p := old[name]
-	m.peers[name] = peer{address: value.Address, avoidUntil: p.avoidUntil}
+	p.address = value.Address
+	p.lifetime.write(r.Version, value.RenewedMS > 0)
+	m.peers[name] = p
 }
 
 // join adds a peer before its member row is read.
@@ -94,7 +126,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peers[name] = peer{address: address}
+	p := m.peers[name]
+	p.address, p.avoidUntil = address, time.Time{}
+	p.lifetime.answer()
+	m.peers[name] = p
 	m.updateList()
 }
 
@@ -104,7 +139,7 @@
 	defer m.mu.Unlock()
 	var list []string
 	for _, p := range m.peers {
-		if now.After(p.avoidUntil) {
+		if now.After(p.avoidUntil) && !p.lifetime.expired() {
 			list = append(list, p.address)
 		}
 	}
@@ -127,5 +162,18 @@
 func (m *members) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.peers) + 1
+	n := 1
+	for _, p := range m.peers {
+		if !p.lifetime.expired() {
+			n++
+		}
+	}
+	return n
+}
+
+// rowMissing reports whether this daemon's own row was removed.
+func (m *members) rowMissing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.missing
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -78,11 +77,13 @@
 	relayed    atomic.Int64
 	// reachedByPeer reports whether the last relayed call reached the store.
 	reachedByPeer atomic.Bool
+	// left is set once a planned stop has begun to remove the member row.
+	left atomic.Bool
 }
 
 // New returns a relayer without peers; Start begins to discover them.
 func New(direct *storer.Guard, r *logger.Logger, o Options) *Relayer {
-	m := newMembers(o.VM)
+	m := newMembers(o.VM, o.Address, membersTable(o.Zone))
 	return &Relayer{direct: direct, options: o, members: m, service: &Service{direct: direct, members: m}, services: map[string]any{}, streams: map[string]messenger.StreamHandler{}, logger: r}
 }
 
@@ -200,17 +201,20 @@
 		s.Start(ctx, l)
 		x.pool.Store(messenger.NewPool(x.options.Dial, secret))
 	}
-	value, err := json.Marshal(member{Address: x.options.Address})
+	value, err := x.memberValue(time.Now())
 	if err != nil {
 		x.logger.Event("relayer", "no member row").Err(err).End()
 		return true
 	}
-	if _, err := x.direct.Commit(attemptCtx, storer.Transaction{Writes: []storer.Write{{Key: x.key(), Value: value}}}); err != nil {
+	version, err := x.direct.Commit(attemptCtx, storer.Transaction{Writes: []storer.Write{{Key: x.key(), Value: value}}})
+	if err != nil {
 		x.logger.Event("relayer", "no member row yet").Err(err).End()
 		return false
 	}
 	follower.Start(ctx, x, x.members, follower.Options{Table: x.table(), PollInterval: membersPeriod, Timeout: membersTimeout})
 	x.tomb.Go((&announcement{relayer: x}).run)
+	x.tomb.Go(newRenewal(x, version, time.Now()).run)
+	x.tomb.Go((&expiry{relayer: x}).run)
 	return true
 }
 
@@ -233,6 +237,7 @@
 
 // Leave deletes the member row; call it on a planned stop.
 func (x *Relayer) Leave(ctx context.Context) {
+	x.left.Store(true)
 	if _, err := x.direct.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: x.key(), Delete: true}}}); err != nil {
 		x.logger.Event("relayer", "member row left behind").Err(err).End()
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -25,6 +25,56 @@
 type network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	// cut holds the daemons that reach no other one.
+	cut   map[string]bool
+	conns []*networkConn
+}
+
+// networkConn is a connection between two daemons, of which one end is known here.
+type networkConn struct {
+	net.Conn
+	from, to string
+}
+
+// setCut cuts a daemon off from all others, or ends that.
+func (n *network) setCut(name string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut == nil {
+		n.cut = map[string]bool{}
+	}
+	n.cut[name] = cut
+	for _, c := range n.conns {
+		if cut && (c.from == name || c.to == name) {
+			_ = c.Close()
+		}
+	}
+}
+
+// networkDialer dials for one daemon.
+type networkDialer struct {
+	network *network
+	from    string
+}
+
+func (d networkDialer) dial(ctx context.Context, address string) (net.Conn, error) {
+	n := d.network
+	n.mu.Lock()
+	cut := n.cut[d.from] || n.cut[address]
+	n.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c, err := n.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	x := &networkConn{c, d.from, address}
+	n.mu.Lock()
+	n.conns = append(n.conns, x)
+	n.mu.Unlock()
+	return x, nil
 }
 
 // listener accepts in-memory connections.
@@ -68,6 +118,8 @@
 	select {
 	case l.conns <- b:
 		return a, nil
+	case <-l.done:
+		return nil, net.ErrClosed
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -75,10 +127,12 @@
 
 // storeAccess is one daemon's access to the store; closing it affects no other daemon.
 type storeAccess struct {
-	store   *emulator.Store
-	closed  atomic.Bool
-	commits atomic.Int64
-	queues  *queues
+	store  *emulator.Store
+	closed atomic.Bool
+	// readOnly makes all writes fail.
+	readOnly atomic.Bool
+	commits  atomic.Int64
+	queues   *queues
 }
 
 // commitTime is the time that a partition of the store takes to apply one transaction.
@@ -139,6 +193,9 @@
 		return 0, err
 	}
 	a.commits.Add(1)
+	if a.readOnly.Load() {
+		return 0, storer.ErrRefused
+	}
 	waitErr := a.queues.wait(ctx, tx.Writes[0].Key)
 	version, err := a.store.Commit(context.WithoutCancel(ctx), tx)
 	if waitErr != nil {
@@ -148,19 +205,17 @@
 }
 
 func (a *storeAccess) List(ctx context.Context, table string) ([]storer.Row, uint64, error) {
-	rows, err := a.Scan(ctx, storer.Prefix(table), "", 1000)
-	return rows, 1, err
+	if err := a.check(); err != nil {
+		return nil, 0, err
+	}
+	return a.store.List(ctx, table)
 }
 
-func (a *storeAccess) Changes(ctx context.Context, table string, after uint64, _ time.Duration) ([]storer.Change, uint64, error) {
-	rows, err := a.Scan(ctx, storer.Prefix(table), "", 1000)
-	var changes []storer.Change
-	for _, r := range rows {
-		if r.Version > after {
-			changes = append(changes, storer.Change{Row: r})
-		}
+func (a *storeAccess) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
+	if err := a.check(); err != nil {
+		return nil, 0, err
 	}
-	return changes, 0, err
+	return a.store.Changes(ctx, table, after, wait)
 }
 
 // zone holds the relayers of one availability zone, with their guards and store accesses.
@@ -170,9 +225,11 @@
 	guards   []*storer.Guard
 	ctx      context.Context
 	cancel   context.CancelFunc
-	store    *emulator.Store
-	network  *network
-	queues   *queues
+	// kills end the processes of the daemons.
+	kills   []context.CancelFunc
+	store   *emulator.Store
+	network *network
+	queues  *queues
 }
 
 // newZone starts three daemons over a new store.
@@ -200,10 +257,12 @@
 		MinTimeout: 100 * time.Millisecond, MaxTimeout: time.Second, OutageAfter: 300 * time.Millisecond, ProbeInterval: 200 * time.Millisecond, RetryBackoff: 20 * time.Millisecond,
 	})
 	z.accesses, z.guards = append(z.accesses, a), append(z.guards, g)
+	ctx, kill := context.WithCancel(z.ctx)
+	z.kills = append(z.kills, kill)
 	x := relayer.New(g, logger.Start(z.ctx, io.Discard), relayer.Options{
-		VM: name, Zone: "z", OtherZones: []string{"y", "x"}, Address: name, Dial: z.network.dial, Listen: z.network.listen,
+		VM: name, Zone: "z", OtherZones: []string{"y", "x"}, Address: name, Dial: networkDialer{z.network, name}.dial, Listen: z.network.listen,
 	})
-	x.Start(z.ctx)
+	x.Start(ctx)
 	z.relayers = append(z.relayers, x)
 }
 
