relayer,server,tracker: [fix] a daemon that was cut off drops replicas whose rows are gone

A daemon that was cut off from the store went on sending to replicas whose rows were removed meanwhile, for 2.2 s after it was back and until the next read. The tracker keeps a replica without a row for that long, because rows expire while the store is down for all, and it took the daemon's own cut for such an outage.

When the registry can be read again, the daemon now asks up to four peers of its zone, and if these don't tell within 120 ms up to four of other zones, for how long each has read the registry itself without interruption (new method Relay.RegistryContact). If one did throughout, from the last read before to the first after, and none of those that answer lost it meanwhile, the missing rows are gone and are applied at once. Otherwise the grace period stays: peers lost the registry too, none answers within 300 ms, or they were started or frozen meanwhile. What a peer reads through another one is no contact. The question runs beside the reads and delays neither requests nor rows. It uses connections of its own: open ones may be broken after a cut, and the error of a daemon of the previous build, which does not know the method, would end the other calls on them. Two outages within the grace period count as one. The contact, the decision and the time asked about are without clock and socket (contact, confirmsRegistry, registryOutage).

Before the change, TestOnlyACutDaemonDropsReplicasAtOnce failed ("one daemon lost the store": 3 replicas used instead of 2, 1.3 s after the store was back); "all daemons lost it" passed and guards the change.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -77,6 +77,10 @@
 	relayed    atomic.Int64
 	// reachedByPeer reports whether the last relayed call reached the store.
 	reachedByPeer atomic.Bool
+	// known is the deployment's secret, nil until it was read.
+	known atomic.Pointer[string]
+	// registry is the contact with the registry of replicas.
+	registry *registry
 	// left is set once a planned stop has begun to remove the member row.
 	left atomic.Bool
 }
@@ -84,7 +88,11 @@
 // New returns a relayer without peers; Start begins to discover them.
 func New(direct *storer.Guard, r *logger.Logger, o Options) *Relayer {
 	m := newMembers(o.VM, o.Address, membersTable(o.Zone))
-	return &Relayer{direct: direct, options: o, members: m, service: &Service{direct: direct, members: m}, services: map[string]any{}, streams: map[string]messenger.StreamHandler{}, logger: r}
+	g := &registry{}
+	return &Relayer{
+		direct: direct, options: o, members: m, registry: g, service: &Service{direct: direct, members: m, registry: g},
+		services: map[string]any{}, streams: map[string]messenger.StreamHandler{}, logger: r,
+	}
 }
 
 // Register registers an additional RPC service for peers; call it before Start.
@@ -200,6 +208,7 @@
 		}
 		s.Start(ctx, l)
 		x.pool.Store(messenger.NewPool(x.options.Dial, secret))
+		x.known.Store(&secret)
 	}
 	value, err := x.memberValue(time.Now())
 	if err != nil {
--- a/internal/relayer/service.go
+++ b/internal/relayer/service.go
@@ -12,11 +12,12 @@
 // daemon's own work.
 const maxRelayed = 64
 
-// Service is the RPC service that executes the calls of peers directly, and learns of peers
-// that join.
+// Service is the RPC service that executes the calls of peers directly, learns of peers that
+// join, and tells them for how long this daemon has read the registry of replicas.
 type Service struct {
 	direct   *storer.Guard
 	members  *members
+	registry *registry
 	inFlight atomic.Int64
 	served   atomic.Int64
 }
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -187,7 +187,7 @@
 		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, logger: d.logger, outageLog: d.outageLog,
 	}, configOptions(d.platform.CatalogTable))
 	follower.Start(ctx, d.relayer, &registrySink{
-		tracker: d.tracker, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog,
+		tracker: d.tracker, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog, peers: d.relayer,
 	}, registryOptions(d.platform.ReplicaTable))
 	follower.Start(ctx, d.relayer, d.isolator, crashOptions())
 	d.clientServer = d.newServer(d.closeWhenStopping(d.platform.Ingress(d.forwarder, d.catalog)))
--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -21,6 +21,11 @@
 	return &registrySink{tracker: t, decode: decode, logger: l, outageLog: newOutageLog(l)}
 }
 
+// NewComparingRegistrySink returns the same with peers that are asked after an outage.
+func NewComparingRegistrySink(t *tracker.Tracker, decode func(string, []byte) (*tracker.Replica, error), l *logger.Logger, peers registryPeers) follower.Sink {
+	return &registrySink{tracker: t, decode: decode, logger: l, outageLog: newOutageLog(l), peers: peers}
+}
+
 // NewConfigSink returns the sink that a daemon uses for the configuration.
 func NewConfigSink(k *cataloger.Keeper, key string, decode func([]byte) (*cataloger.Catalog, error), l *logger.Logger) follower.Sink {
 	return &configSink{keeper: k, key: key, decode: decode, logger: l, outageLog: newOutageLog(l)}
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -23,6 +23,9 @@
 	decode    func(id string, value []byte) (*tracker.Replica, error)
 	logger    *logger.Logger
 	outageLog *outageLog
+	// peers are told of the contact with the registry and asked for theirs; nil without peers.
+	peers  registryPeers
+	outage registryOutage
 }
 
 // Replace implements follower.Sink.
@@ -34,6 +37,7 @@
 		}
 	}
 	now := time.Now()
+	g.read(now)
 	g.logChanges(g.tracker.Replace(list, now), version)
 	g.logChanges(g.tracker.Expire(now), version)
 }
@@ -49,20 +53,38 @@
 		}
 	}
 	now := time.Now()
+	g.read(now)
 	g.logChanges(g.tracker.Update(rows, now), version)
 	g.logChanges(g.tracker.Expire(now), version)
 }
 
+// read records a read of the registry.
+func (g *registrySink) read(now time.Time) {
+	g.outage.read(now)
+	if g.peers != nil {
+		g.peers.RegistryRead()
+	}
+}
+
 // StoreUnavailable implements follower.Sink.
 func (g *registrySink) StoreUnavailable(err error) {
+	g.outage.begin(time.Now())
+	if g.peers != nil {
+		g.peers.RegistryLost()
+	}
 	g.tracker.StoreUnavailable()
 	g.outageLog.begin("registry", err)
 }
 
-// StoreRecovered implements follower.Sink.
+// StoreRecovered implements follower.Sink. Peers are asked meanwhile whether it was an outage
+// of the store or only of this daemon.
 func (g *registrySink) StoreRecovered() {
-	g.tracker.StoreRecovered(time.Now())
+	now := time.Now()
+	g.tracker.StoreRecovered(now)
 	g.outageLog.end("registry")
+	if began, known := g.outage.end(now); known && g.peers != nil {
+		go (&registryComparison{sink: g, began: began, ended: now}).run()
+	}
 }
 
 func (g *registrySink) decodeRow(r storer.Row) *tracker.Replica {
--- a/internal/server/stranded_test.go
+++ b/internal/server/stranded_test.go
@@ -158,6 +158,8 @@
 	replicas []*replica
 	daemons  []*daemon
 	links    [][]*link
+	// stores are the accesses of the daemons to the store.
+	stores []*storeAccess
 	// number differs between the zones of a test process.
 	number int
 }
@@ -205,11 +207,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &daemon{t: z.t, store: z.store, front: z.ip(i) + ":7001", ready: z.ip(i) + ":7002", cancel: cancel, ended: make(chan error, 1)}
 	name := string(rune('A' + i))
+	access := &storeAccess{Store: z.store}
+	z.stores = append(z.stores, access)
 	go d.run(ctx, server.Options{
 		Name: name + "-1", VM: name, Zone: "z", Zones: 1, ClientAddress: d.front, ReadyAddress: d.ready, PeerAddress: z.ip(i) + ":7003", ReadyPath: "/ready",
 		Grace: 3 * time.Second, RowBytes: 1000, MemoryBytes: 64 << 20, Output: io.Discard,
 	}, server.Platform{
-		Table: z.store, Feed: z.store, Codec: plainCodec{}, CatalogTable: "config", CatalogKey: "all", DecodeCatalog: decodeCatalog,
+		Table: access, Feed: access, Codec: plainCodec{}, CatalogTable: "config", CatalogKey: "all", DecodeCatalog: decodeCatalog,
 		ReplicaTable: "replicas", DecodeReplica: func(_ string, value []byte) (*tracker.Replica, error) {
 			var r tracker.Replica
 			err := json.Unmarshal(value, &r)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -39,7 +39,8 @@
 	usable  map[string][]*Replica
 	// leaving holds the instances that announced their end, and when they did.
 	leaving map[string]time.Time
-	// recoveredAt is when the last outage of the store ended, zero if there was none.
+	// recoveredAt is when the last outage of the store ended, zero if there was none or if it
+	// was none of the store but this daemon's own.
 	recoveredAt      time.Time
 	storeUnavailable bool
 }
@@ -139,6 +140,27 @@
 	}
 }
 
+// ConfirmRemovals records that the registry was up during the outage that ended at a time, and
+// only this daemon could not read it. The replicas whose rows are missing are gone and are
+// removed at once. It does nothing if another outage has begun since.
+func (t *Tracker) ConfirmRemovals(recoveredAt time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.storeUnavailable || !t.recoveredAt.Equal(recoveredAt) {
+		return nil
+	}
+	t.recoveredAt = time.Time{}
+	var changes []Change
+	for id, e := range t.entries {
+		if !e.removeAt.IsZero() {
+			changes = append(changes, Change{e.replica, "removed"})
+			delete(t.entries, id)
+		}
+	}
+	t.updateUsable()
+	return changes
+}
+
 // Replace applies the complete list of registry rows and returns what changed.
 func (t *Tracker) Replace(list []*Replica, now time.Time) []Change {
 	t.mu.Lock()
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -98,6 +98,56 @@
 	}
 }
 
+// TestConfirmedRemovals guards against a daemon that was cut off and goes on using replicas
+// whose rows were removed, and against replicas that are dropped in an outage of the store.
+func TestConfirmedRemovals(t *testing.T) {
+	rows := []struct {
+		name  string
+		steps func(t *tracker.Tracker)
+		want  int
+	}{
+		{"missing when the daemon is back", func(t *tracker.Tracker) {
+			t.Replace([]*tracker.Replica{replica("b")}, at(10))
+			t.ConfirmRemovals(at(10))
+		}, 1},
+		{"confirmed before the rows are read", func(t *tracker.Tracker) {
+			t.ConfirmRemovals(at(10))
+			t.Replace([]*tracker.Replica{replica("b")}, at(10))
+		}, 1},
+		{"removed just after that", func(t *tracker.Tracker) {
+			t.ConfirmRemovals(at(10))
+			t.Update(removed("a"), at(10.5))
+		}, 1},
+		{"another outage has begun", func(t *tracker.Tracker) {
+			t.Replace([]*tracker.Replica{replica("b")}, at(10))
+			t.StoreUnavailable()
+			t.ConfirmRemovals(at(10))
+		}, 2},
+		{"another outage has ended", func(t *tracker.Tracker) {
+			t.Replace([]*tracker.Replica{replica("b")}, at(10))
+			t.StoreUnavailable()
+			t.StoreRecovered(at(11))
+			t.ConfirmRemovals(at(10))
+		}, 2},
+		{"missing rows of a later outage", func(t *tracker.Tracker) {
+			t.ConfirmRemovals(at(10))
+			t.StoreUnavailable()
+			t.StoreRecovered(at(20))
+			t.Update(removed("a"), at(20))
+		}, 2},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			k := newTracker()
+			k.StoreUnavailable()
+			k.StoreRecovered(at(10))
+			row.steps(k)
+			is.Equal(len(k.Usable("s")), row.want)
+		})
+	}
+}
+
 func TestAnOldRowChangesNothing(t *testing.T) {
 	is := is.New(t)
 	k := newTracker()
