tunneler,server: [fix] a small service whose replicas end in turn is no cut of the daemon

Without peers that answer, a crash counts only if this daemon reaches another replica. In a service of two or three replicas, a request that crashes them one after the other finds none: each is still down while the next one ends, and its crash was not counted, again and again. A replica that lately ended (10 s) and refuses now therefore says nothing, and if there are only such, the crash counts.

A daemon without any known peers counted all refused connections, also while it was cut off from all replicas and had not read which daemons other zones have. It now has to reach another replica too, if there is one.

Without the first change "all end one after the other" of TestADaemonWhosePeersWereKilledCountsCrashes finds 2 crashes instead of 3, without the second one "there are none, and nothing is reached" of TestPeersThatDoNotAnswerDoNotHideACrash fails.

--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -105,6 +105,8 @@
 	// tunnels lead through peers, and tunnelService serves those of peers.
 	tunnels       *tunneler.Tunneler
 	tunnelService *tunneler.Service
+	// endings are the replicas that lately ended.
+	endings endings
 	// cutOffSince is when this daemon was found to reach no replica itself, zero if it does.
 	cutOffSince  time.Time
 	forwarder    *forwarder.Forwarder
--- a/internal/server/links.go
+++ b/internal/server/links.go
@@ -15,7 +15,11 @@
 		return false
 	}
 	r := d.tracker.AtAddress(address)
-	return r == nil || d.tunnels.Ended(ctx, r, (&reach{daemon: d, address: address}).run)
+	ended := r == nil || d.tunnels.Ended(ctx, r, (&reach{daemon: d, address: address}).run)
+	if ended {
+		d.endings.add(address, time.Now())
+	}
+	return ended
 }
 
 // logCutOff logs when this daemon no longer reaches any replica itself, and when it does again.
--- a/internal/server/reach.go
+++ b/internal/server/reach.go
@@ -22,34 +22,55 @@
 	address string
 }
 
-// run dials a few replicas at the same time and returns true once one accepts.
-func (r *reach) run(ctx context.Context) bool {
+// run implements tunneler.Reach. It dials a few replicas at the same time and ends once one
+// accepts. Replicas that lately ended say nothing if they refuse, and if there are only such,
+// this daemon is taken to reach replicas: it did when it found that they had ended.
+func (r *reach) run(ctx context.Context) (reached, others bool) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	list := r.daemon.tracker.Sample(maxReached, r.address)
-	results := make(chan bool, len(list))
+	results := make(chan reachResult, len(list))
 	for _, x := range list {
 		go (&reachDial{reach: r, replica: x, results: results}).run(ctx)
 	}
+	ended := 0
 	for range list {
-		if <-results {
-			return true
+		switch <-results {
+		case reachAccepted:
+			return true, true
+		case reachEnded:
+			ended++
 		}
 	}
-	return false
+	return len(list) > 0 && ended == len(list), len(list) > 0
 }
 
+// reachResult is what one of the dials shows.
+type reachResult int
+
+const (
+	reachFailed reachResult = iota
+	reachAccepted
+	// reachEnded is the result at a replica that had lately ended and is not back.
+	reachEnded
+)
+
 // reachDial dials one replica.
 type reachDial struct {
 	*reach
 	replica *tracker.Replica
-	results chan<- bool
+	results chan<- reachResult
 }
 
 func (d *reachDial) run(ctx context.Context) {
 	c, err := d.daemon.conns.DialDirectly(ctx, d.replica.Instance(), d.replica.Address)
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = c.Close()
+		d.results <- reachAccepted
+	case d.daemon.endings.has(d.replica.Address, time.Now()):
+		d.results <- reachEnded
+	default:
+		d.results <- reachFailed
 	}
-	d.results <- err == nil
 }
--- a/internal/tunneler/evidence.go
+++ b/internal/tunneler/evidence.go
@@ -9,8 +9,8 @@
 	// status. Peers that did not answer are in none.
 	peers   int
 	answers map[status]int
-	// reaches is set if this daemon reaches another replica itself.
-	reaches bool
+	// reaches is set if this daemon reaches other replicas itself, and others if there are any.
+	reaches, others bool
 }
 
 // contradicted reports whether a peer reaches the replica.
@@ -22,7 +22,7 @@
 // ended reports whether the process has ended. A peer that answers but can't tell keeps the
 // question open, since it or another one may reach the replica. Where no peer answers, nobody
 // can contradict the own refused connection, and it is sufficient if this daemon is not cut
-// off from everything, or has no peers at all.
+// off from everything. Without peers and other replicas it can't find out, and counts it.
 func (e evidence) ended() bool {
 	switch {
 	case e.contradicted():
@@ -32,5 +32,5 @@
 	case !e.silent():
 		return false
 	}
-	return e.reaches || e.peers == 0
+	return e.reaches || e.peers == 0 && !e.others
 }
--- a/internal/tunneler/inquiry.go
+++ b/internal/tunneler/inquiry.go
@@ -21,12 +21,18 @@
 type inquiry struct {
 	tunneler *Tunneler
 	header   header
-	// reaches reports whether this daemon reaches another replica itself.
-	reaches func(context.Context) bool
-	answers chan answer
-	reached chan bool
+	reaches  Reach
+	answers  chan answer
+	reached  chan reached
 }
 
+// Reach reports whether a daemon reaches replicas itself, other than the one in question, and
+// whether there are any.
+type Reach func(context.Context) (reached, others bool)
+
+// reached is the result of a Reach.
+type reached struct{ reached, others bool }
+
 // answer is what one peer said. Its status is not valid if there is an error.
 type answer struct {
 	peer   assigner.Peer
@@ -34,8 +40,8 @@
 	err    error
 }
 
-func newInquiry(t *Tunneler, h header, reaches func(context.Context) bool) *inquiry {
-	return &inquiry{tunneler: t, header: h, reaches: reaches, answers: make(chan answer, rounds*(maxOwnZone+maxElsewhere)), reached: make(chan bool, 1)}
+func newInquiry(t *Tunneler, h header, reaches Reach) *inquiry {
+	return &inquiry{tunneler: t, header: h, reaches: reaches, answers: make(chan answer, rounds*(maxOwnZone+maxElsewhere)), reached: make(chan reached, 1)}
 }
 
 // run returns what was found once nothing further can change it, or at the timeout.
@@ -62,8 +68,8 @@
 			if e.silent() {
 				pending += q.askFurther(ctx, asked[1])
 			}
-		case e.reaches = <-q.reached:
-			checked = true
+		case r := <-q.reached:
+			e.reaches, e.others, checked = r.reached, r.others, true
 		case <-ctx.Done():
 			return e
 		}
@@ -86,7 +92,11 @@
 }
 
 // check finds out whether this daemon reaches another replica.
-func (q *inquiry) check(ctx context.Context) { q.reached <- q.reaches(ctx) }
+func (q *inquiry) check(ctx context.Context) {
+	var r reached
+	r.reached, r.others = q.reaches(ctx)
+	q.reached <- r
+}
 
 // note adds an answer to the evidence.
 func (q *inquiry) note(e *evidence, a answer) {
--- a/internal/tunneler/tunneler.go
+++ b/internal/tunneler/tunneler.go
@@ -62,9 +62,8 @@
 
 // Ended reports whether the process of a replica has ended, after this daemon's own connection
 // was refused: peers confirm it, or none of them can be asked and this daemon is not cut off
-// itself. The function reaches reports whether it reaches another replica. Ended takes at most
-// 300 ms unless the peers of other zones must be read first.
-func (t *Tunneler) Ended(ctx context.Context, r *tracker.Replica, reaches func(context.Context) bool) bool {
+// itself. It takes at most 300 ms unless the peers of other zones must be read first.
+func (t *Tunneler) Ended(ctx context.Context, r *tracker.Replica, reaches Reach) bool {
 	e := newInquiry(t, t.newHeader(r), reaches).run(ctx, t.peers.Others(), t.peers.Elsewhere(ctx))
 	ended := e.ended() && !isOver(ctx)
 	if e.silent() && e.peers > 0 {
