--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -108,6 +108,8 @@
 	// tunnels lead through peers, and tunnelService serves those of peers.
 	tunnels       *tunneler.Tunneler
 	tunnelService *tunneler.Service
+	// endings are the replicas that lately ended.
+	endings endings
 	// cutOffSince is when this daemon was found to reach no replica itself, zero if it does.
 	cutOffSince  time.Time
 	forwarder    *forwarder.Forwarder
@@ -192,7 +194,7 @@
 	}, configOptions(d.platform.CatalogTable))
 	registry := &timedFeed{Feed: d.relayer}
 	follower.Start(ctx, registry, &registrySink{
-		tracker: d.tracker, feed: registry, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog,
+		tracker: d.tracker, feed: registry, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog, peers: d.relayer,
 	}, registryOptions(d.platform.ReplicaTable))
 	follower.Start(ctx, d.relayer, d.isolator, crashOptions())
 	d.clientServer = d.newServer(d.closeWhenStopping(d.platform.Ingress(d.forwarder, d.catalog)))
--- a/internal/server/links.go
+++ b/internal/server/links.go
@@ -8,13 +8,18 @@
 )
 
 // hasEnded reports whether the process of a replica at an address has ended. A refused
-// connection may also mean that the link is cut, so peers are asked as well.
+// connection may also mean that the link is cut, so peers are asked as well. If none of them
+// answers, it counts only if this daemon reaches other replicas.
 func (d *Daemon) hasEnded(ctx context.Context, address string) bool {
 	if !connector.Refused(ctx, address) {
 		return false
 	}
 	r := d.tracker.AtAddress(address)
-	return r == nil || d.tunnels.Ended(ctx, r)
+	ended := r == nil || d.tunnels.Ended(ctx, r, (&reach{daemon: d, address: address}).run)
+	if ended {
+		d.endings.add(address, time.Now())
+	}
+	return ended
 }
 
 // sawEnd records that the process of an instance was seen to end.
