--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -23,7 +23,7 @@
 
 // NewComparingRegistrySink returns the same with peers that are asked after an outage.
 func NewComparingRegistrySink(t *tracker.Tracker, decode func(string, []byte) (*tracker.Replica, error), l *logger.Logger, peers registryPeers) follower.Sink {
-	return &registrySink{tracker: t, decode: decode, logger: l, outageLog: newOutageLog(l), peers: peers}
+	return &registrySink{tracker: t, decode: decode, feed: &timedFeed{}, logger: l, outageLog: newOutageLog(l), peers: peers}
 }
 
 // NewConfigSink returns the sink that a daemon uses for the configuration.
