selector: [fix] suspects do not crash the replicas that a small service has left

Clients of a service of few replicas got 502 and 503 for a third of their harmless requests while 5 in 100 calls crashed the replica that ran them. A request that was broken off by a crash was sent on at once to a replica that was left, ended that too, and made suspects of all requests there. Requests that found all replicas away were asked to come back in 250 ms, five times in two seconds, against three seconds until a replica is back.

The type trials now decides when and where a suspect is tried, and absences which replicas are away (failed, none served since, no newer instance). A trial needs that most of the service is left if it crashes its replica: all replicas but one in a service of up to five, four fifths in larger ones. Until then a suspect is held back as not run, with the time until enough replicas are usually back, for 10 s at most. Requests at fewer crashes go first. Trials take replicas in an order that is the same in all zones, and the other requests leave these alone while other replicas have free slots. A retry does not go to a replica that is away. Suspects of an outage are spread as before. Messages between coordinators are unchanged.

--- a/internal/selector/choice.go
+++ b/internal/selector/choice.go
@@ -65,7 +65,7 @@
 // End records the end of the request, and reports it to the coordinator if that chose
 // the replica.
 func (c *Choice) End(outcome Outcome) {
-	c.selector.views.end(c.Instance, c.suspicion, outcome)
+	c.selector.views.end(c.Instance, c.suspicion, outcome, c.chosenAt)
 	if c.id != "" {
 		c.selector.reporter.enqueue(c.coordinator, Report{ID: c.id, Ended: true, Outcome: outcome})
 	}
--- a/internal/selector/coordinator.go
+++ b/internal/selector/coordinator.go
@@ -104,7 +104,7 @@
 	}
 	placement, replica, err := s.views.choose(q.demand(), s.scope(q.Service.Name))
 	var busy *BusyError
-	if errors.As(err, &busy) {
+	if errors.As(err, &busy) && !busy.AllAway() {
 		r.Busy, r.RetryAfter, r.Reason = true, busy.after, busy.reason
 	}
 	if r.Seat, r.Found = placement, replica != nil; r.Found {
@@ -136,7 +136,7 @@
 			s.views.reportLoad(instance, p.Load)
 		}
 		if p.Ended {
-			s.views.end(instance, placed.suspicion, p.Outcome)
+			s.views.end(instance, placed.suspicion, p.Outcome, placed.at)
 		}
 	}
 	return nil
--- a/internal/selector/doc.go
+++ b/internal/selector/doc.go
@@ -10,6 +10,7 @@
 // The coordinator also counts the requests of its zone against the limits that replicas name
 // for all daemons together (limits, shares). A daemon that is not the coordinator in the view
 // of the others has a small part of each limit. Requests that were at crashes of replicas are
-// kept apart from each other (suspects). A request that resumes a stream is placed only at
-// replicas of the version that began the stream.
+// tried apart from each other, and not while too many replicas of their service are away
+// (trials, absences). A request that resumes a stream is placed only at replicas of the
+// version that began the stream.
 package selector
--- a/internal/selector/fixture_test.go
+++ b/internal/selector/fixture_test.go
@@ -35,6 +35,7 @@
 	zone        *zone
 	address     string
 	selector    *selector.Selector
+	tracker     *tracker.Tracker
 	coordinator *selector.Coordinator
 	calls       atomic.Int64
 	// unresponsive makes all calls to the daemon time out, and dropsReports makes
@@ -61,7 +62,7 @@
 			list = append(list, &tracker.Replica{ID: fmt.Sprintf("r%d", n), Service: service, Address: fmt.Sprintf("r%d", n), Zone: "z", Slots: slots, StartedMS: 1, Version: versionOf(n)})
 		}
 		t.Replace(list, time.Now())
-		d := &daemon{zone: z, address: fmt.Sprintf("d%d", i)}
+		d := &daemon{zone: z, address: fmt.Sprintf("d%d", i), tracker: t}
 		var peers assigner.Peers
 		if !alone {
 			peers = d
--- a/internal/selector/replay_test.go
+++ b/internal/selector/replay_test.go
@@ -36,6 +36,11 @@
 	// patience is how long after the crowd a harmless request must be served whose client
 	// does not give up.
 	patience = 60 * time.Second
+	// lateAfter is the time after the third crash of a request from which on it may crash
+	// maxLate replicas.
+	lateAfter = 3 * time.Second
+	maxLate   = 3
+	soonAfter = 2 * time.Second
 	// minServed is the share of the harmless requests that must be served.
 	minServed = 0.85
 )
@@ -62,6 +67,18 @@
 	q.crashes = append(q.crashes, time.Now())
 }
 
+// lateCrashes returns the number of replicas that the request crashed later than lateAfter
+// after its third crash.
+func (q *replayRequest) lateCrashes() int {
+	n := 0
+	for i, at := range q.crashes {
+		if i > 2 && at.Sub(q.crashes[2]) > lateAfter {
+			n++
+		}
+	}
+	return n
+}
+
 // replay is a service of some replicas and the daemons of three zones before it.
 type replay struct {
 	ctx      context.Context
@@ -175,7 +192,8 @@
 // replayResult sums up what clients saw.
 type replayResult struct {
 	harmless, served, condemned, crashing int
-	crashes, mostCrashes                  int
+	soon                                  int // Served after at most soonAfter of waiting.
+	crashes, mostCrashes, mostLate        int
 	replicaCrashes                        int
 	took, slowest                         time.Duration
 }
@@ -187,6 +205,7 @@
 			s.crashing++
 			s.crashes += len(q.crashes)
 			s.mostCrashes = max(s.mostCrashes, len(q.crashes))
+			s.mostLate = max(s.mostLate, q.lateCrashes())
 			continue
 		}
 		s.harmless++
@@ -195,6 +214,9 @@
 			s.served++
 			took := q.ended.Sub(q.arrived) - q.duration
 			s.took += took
+			if took <= soonAfter {
+				s.soon++
+			}
 			s.slowest = max(s.slowest, took)
 		case condemned:
 			s.condemned++
@@ -210,10 +232,12 @@
 func (s *replayResult) add(o replayResult) {
 	s.harmless += o.harmless
 	s.served += o.served
+	s.soon += o.soon
 	s.condemned += o.condemned
 	s.crashing += o.crashing
 	s.crashes += o.crashes
 	s.mostCrashes = max(s.mostCrashes, o.mostCrashes)
+	s.mostLate = max(s.mostLate, o.mostLate)
 	s.replicaCrashes += o.replicaCrashes
 	s.took += o.took
 	s.slowest = max(s.slowest, o.slowest)
@@ -223,13 +247,13 @@
 
 // String returns a row of the table of costs.
 func (s replayResult) String() string {
-	return fmt.Sprintf("served %.3f of %d harmless requests, %d condemned, wait mean %v max %v; %.2f crashes by each of %d crashing requests, at most %d; %d crashes",
-		s.share(), s.harmless, s.condemned, (s.took / time.Duration(max(1, s.served))).Round(time.Millisecond), s.slowest.Round(10*time.Millisecond),
-		float64(s.crashes)/float64(max(1, s.crashing)), s.crashing, s.mostCrashes, s.replicaCrashes)
+	return fmt.Sprintf("served %.3f (%.3f soon) of %d harmless requests, %d condemned, wait mean %v max %v; %.2f crashes by each of %d crashing requests, at most %d, %d late; %d crashes",
+		s.share(), float64(s.soon)/float64(max(1, s.harmless)), s.harmless, s.condemned, (s.took / time.Duration(max(1, s.served))).Round(time.Millisecond), s.slowest.Round(10*time.Millisecond),
+		float64(s.crashes)/float64(max(1, s.crashing)), s.crashing, s.mostCrashes, s.mostLate, s.replicaCrashes)
 }
 
 // replaySeeds is the number of crowds for each number of replicas.
-const replaySeeds = 4
+const replaySeeds = 8
 
 // TestFewReplicasUnderCrashingCalls guards against a service of few replicas that serves half
 // of its harmless requests because suspects crash one replica after another while the others
@@ -240,7 +264,9 @@
 			is := is.New(t)
 			var calm, sum replayResult
 			for seed := range uint64(replaySeeds) {
-				calm.add(runReplay(t, replicas, 0, repeats+1, seed).result())
+				if seed == 0 {
+					calm = runReplay(t, replicas, 0, repeats+1, seed).result()
+				}
 				s := runReplay(t, replicas, crashingShare, repeats+1, seed).result()
 				t.Log(s)
 				sum.add(s)
@@ -248,6 +274,25 @@
 			t.Logf("%d replicas without crashing calls: %v", replicas, calm)
 			t.Logf("%d replicas: %v", replicas, sum)
 			is.True(sum.share() >= minServed)
+			if replicas <= 5 {
+				// In a service of 14, crashes that come together by chance are judged as an
+				// outage, which package isolator has to tell apart.
+				is.True(sum.mostLate <= maxLate)
+			}
+		})
+	}
+}
+
+// TestHarmlessRequestsAreServedInTheEnd guards against a harmless suspect that is refused for
+// good: each is served if its client does not give up. Requests that the judgment condemned
+// are the matter of package isolator.
+func TestHarmlessRequestsAreServedInTheEnd(t *testing.T) {
+	for _, replicas := range []int{2, 3, 5, 14} {
+		t.Run(fmt.Sprint(replicas), func(t *testing.T) {
+			is := is.New(t)
+			s := runReplay(t, replicas, crashingShare, 1000, 1).result()
+			t.Logf("%d replicas: %v", replicas, s)
+			is.Equal(s.served+s.condemned, s.harmless)
 		})
 	}
 }
--- a/internal/selector/replaydaemon_test.go
+++ b/internal/selector/replaydaemon_test.go
@@ -20,10 +20,16 @@
 	// those that may have run it.
 	replayAttempts = 5
 	replayRuns     = 2
+	// confirmWait is how long a request that was broken off waits until it is known whether
+	// its replica has ended, and confirmPoll the time between two checks.
+	confirmWait = 250 * time.Millisecond
+	confirmPoll = 50 * time.Millisecond
 	// awayRetryAfter is the time after which a client is asked to come back if no replica
 	// could be reached.
 	awayRetryAfter = 250 * time.Millisecond
-	replayTimeout  = 10 * time.Second
+	// unreachedRetryAfter replaces it if as many replicas as are tried were away.
+	unreachedRetryAfter = time.Second
+	replayTimeout       = 10 * time.Second
 )
 
 // answer is what a client gets for one attempt.
@@ -61,10 +67,12 @@
 // serve sends a request to one replica after another, and returns the answer for the client
 // with the time after which it is to come back.
 func (d *replayDaemon) serve(q *replayRequest) (answer, time.Duration) {
-	runs, tried, deadline := 0, map[string]bool{}, time.Now().Add(replayTimeout)
+	attempts, runs, waited, tried := 0, 0, time.Duration(0), map[string]bool{}
+	deadline := time.Now().Add(replayTimeout)
 	ctx, cancel := context.WithDeadline(d.replay.ctx, deadline)
 	defer cancel()
-	for range replayAttempts {
+	var busy *selector.BusyError
+	for attempts < replayAttempts {
 		v := d.isolator.Check(q.mark)
 		if v.Condemned {
 			return condemned, 0
@@ -73,13 +81,15 @@
 			Service: selector.Service{Name: service}, Work: ranker.Work{Bytes: 300}, Tried: tried, Deadline: deadline,
 			Suspicion: selector.Suspicion{Fingerprint: q.mark.Start, Crashes: v.Crashes},
 		})
-		var busy *selector.BusyError
-		if errors.As(err, &busy) && runs == 0 {
-			return notRun, busy.RetryAfter()
+		if errors.As(err, &busy) && runs > 0 && waited < confirmWait {
+			time.Sleep(confirmPoll)
+			waited += confirmPoll
+			continue
 		}
 		if err != nil {
 			break
 		}
+		attempts++
 		tried[c.Instance] = true
 		if d.try(c, q) == nil {
 			return served, 0
@@ -90,8 +100,13 @@
 			}
 		}
 	}
-	if runs > 0 {
+	switch {
+	case runs > 0:
 		return broken, 0
+	case busy != nil:
+		return notRun, max(awayRetryAfter, busy.RetryAfter())
+	case attempts >= replayAttempts:
+		return notRun, unreachedRetryAfter
 	}
 	return notRun, awayRetryAfter
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -100,7 +100,7 @@
 		case <-time.After(evictPeriod):
 			s.views.evictIdle()
 			for _, p := range s.peerPlacements.expire(time.Now()) {
-				s.views.end(p.instance, p.suspicion, Unknown)
+				s.views.end(p.instance, p.suspicion, Unknown, p.at)
 			}
 		case <-s.tomb.Dying():
 			return nil
--- a/internal/selector/suspects.go
+++ b/internal/selector/suspects.go
@@ -1,88 +1,106 @@
 package selector
 
 import (
+	"slices"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/ranker"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
-// trialRetryAfter is the time after which a client should retry whose request is to be alone
-// and can't be now.
-const trialRetryAfter = 250 * time.Millisecond
-
-// isTried reports whether an equal request that is to be alone is in flight.
-func (s *views) isTried(p Suspicion, now time.Duration) bool {
-	return p.alone() && now < s.trials[p.Fingerprint]
-}
-
-// noPlaceApart reports whether a request that is to be alone would meet another suspect at
-// each replica.
-func (s *views) noPlaceApart(replicas []*tracker.Replica) bool {
-	for _, r := range replicas {
-		if s.tracked[r.Instance()].suspects == 0 {
-			return false
+// keepApart keeps the replicas at which a request may run because of the suspect requests of
+// its service. It returns a BusyError if a suspect is held back.
+func (s *views) keepApart(q demand, usable []*tracker.Replica, views []*ranker.View, replicas []*tracker.Replica, now time.Duration) ([]*ranker.View, []*tracker.Replica, error) {
+	t := s.trials[q.service.Name]
+	if q.suspicion.Crashes > 0 {
+		t = s.trialsOf(q.service.Name)
+	}
+	if t == nil {
+		return views, replicas, nil
+	}
+	t.absences.observe(usable, now)
+	if len(q.tried) > 0 {
+		// A request goes to a replica that is away at its first attempt at most.
+		if upViews, up := keep(views, replicas, func(i int) bool { return t.absences.up(replicas[i]) }); len(up) > 0 {
+			views, replicas = upViews, up
 		}
 	}
-	return len(replicas) > 0
+	if q.suspicion.Crashes == 0 {
+		if after, away := t.absences.untilOneIsBack(usable, now); away && len(replicas) == 0 {
+			return nil, nil, &BusyError{reason: allAway, after: after}
+		}
+		return s.leaveToSuspects(t, usable, views, replicas, now)
+	}
+	kept, after := t.admit(q.suspicion, usable, replicas, now)
+	if after > 0 {
+		return nil, nil, &BusyError{reason: inTrial, after: after}
+	}
+	views, replicas = keep(views, replicas, func(i int) bool { return slices.Contains(kept, replicas[i]) })
+	return views, replicas, nil
 }
 
-// apart keeps the replicas that mix the fewest suspect requests. A suspect goes where the
-// fewest others are in flight and, with more than one crash, where the fewest requests are.
-// All others stay away from a suspect that is to be alone.
-func (s *views) apart(views []*ranker.View, replicas []*tracker.Replica, p Suspicion, now time.Duration) ([]*ranker.View, []*tracker.Replica) {
-	views, replicas = keepLeast(views, replicas, func(i int) float64 { return float64(s.tracked[replicas[i].Instance()].alone) })
-	if p.Crashes > 0 {
-		views, replicas = keepLeast(views, replicas, func(i int) float64 { return float64(s.tracked[replicas[i].Instance()].suspects) })
+// leaveToSuspects keeps the replicas that are not reserved for suspects, if one of them has a
+// free slot, and otherwise those without a suspect that is to be alone.
+func (s *views) leaveToSuspects(t *trials, usable []*tracker.Replica, views []*ranker.View, replicas []*tracker.Replica, now time.Duration) ([]*ranker.View, []*tracker.Replica, error) {
+	reserved := t.reserved(usable, now)
+	if len(reserved) == 0 {
+		return views, replicas, nil
 	}
-	if p.alone() {
-		views, replicas = keepLeast(views, replicas, func(i int) float64 { return views[i].Busy(now) })
+	free := false
+	otherViews, others := keep(views, replicas, func(i int) bool { return !reserved[replicas[i].Instance()] })
+	for i, v := range otherViews {
+		free = free || t.absences.up(others[i]) && v.Busy(now) < float64(v.Slots)
 	}
-	return views, replicas
+	if !free {
+		otherViews, others = keep(views, replicas, func(i int) bool { return t.alone[replicas[i].Instance()] == 0 })
+	}
+	if len(others) == 0 {
+		return views, replicas, nil
+	}
+	return otherViews, others, nil
 }
 
-// keepLeast returns the replicas with the least value.
-func keepLeast(views []*ranker.View, replicas []*tracker.Replica, value func(i int) float64) ([]*ranker.View, []*tracker.Replica) {
+// keep returns the replicas for which a condition holds.
+func keep(views []*ranker.View, replicas []*tracker.Replica, condition func(i int) bool) ([]*ranker.View, []*tracker.Replica) {
 	var keptViews []*ranker.View
 	var keptReplicas []*tracker.Replica
-	least := 0.0
 	for i := range views {
-		v := value(i)
-		if len(keptViews) > 0 && v > least {
-			continue
+		if condition(i) {
+			keptViews, keptReplicas = append(keptViews, views[i]), append(keptReplicas, replicas[i])
 		}
-		if len(keptViews) > 0 && v < least {
-			keptViews, keptReplicas = keptViews[:0], keptReplicas[:0]
-		}
-		least = v
-		keptViews, keptReplicas = append(keptViews, views[i]), append(keptReplicas, replicas[i])
 	}
 	return keptViews, keptReplicas
 }
 
-// beginSuspect counts a suspect request as in flight at a replica.
-func (s *views) beginSuspect(instance string, p Suspicion, until time.Duration) {
-	if p.Crashes == 0 {
-		return
+// trialsOf returns the trials of a service, and creates them on first use.
+func (s *views) trialsOf(service string) *trials {
+	t := s.trials[service]
+	if t == nil {
+		t = newTrials()
+		t.absences.observe(s.tracker.Usable(service), s.now())
+		s.trials[service] = t
 	}
-	e := s.tracked[instance]
-	e.suspects++
-	s.suspectsInFlight++
-	if p.alone() {
-		e.alone++
-		s.trials[p.Fingerprint] = until
+	return t
+}
+
+// beginSuspect counts a suspect request as in flight at a replica.
+func (s *views) beginSuspect(r *tracker.Replica, p Suspicion, until time.Duration) {
+	if p.Crashes > 0 {
+		s.trialsOf(r.Service).begin(r.Instance(), p, until)
 	}
 }
 
-// endSuspect counts a suspect request as ended.
-func (s *views) endSuspect(e *tracked, p Suspicion) {
-	if p.Crashes == 0 {
-		return
+// endSuspect counts a request that was sent at a time as ended, if it is suspect, and records
+// whether its replica is there.
+func (s *views) endSuspect(r *tracker.Replica, p Suspicion, outcome Outcome, sentAt, now time.Duration) {
+	t := s.trials[r.Service]
+	if p.Crashes > 0 && t != nil {
+		t.end(r.Instance(), p, outcome, sentAt, now)
 	}
-	e.suspects--
-	s.suspectsInFlight--
-	if p.alone() {
-		e.alone--
-		delete(s.trials, p.Fingerprint)
+	switch {
+	case outcome == Failed && !s.tracker.IsEnding(r):
+		s.trialsOf(r.Service).absences.failed(r, now)
+	case outcome == Served && t != nil:
+		t.absences.served(r, sentAt, now)
 	}
 }
--- a/internal/selector/views.go
+++ b/internal/selector/views.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"pimentorail.example/pimentorail/internal/isolator"
 	"pimentorail.example/pimentorail/internal/prioritizer"
 	"pimentorail.example/pimentorail/internal/ranker"
 	"pimentorail.example/pimentorail/internal/tracker"
@@ -25,24 +24,20 @@
 
 	mu      sync.Mutex
 	tracked map[string]*tracked
-	// trials holds the suspect requests that are alone in flight, with the times at which
-	// these end at the latest.
-	trials map[isolator.Fingerprint]time.Duration
-	// suspectsInFlight is the number of suspect requests in flight at all replicas.
-	suspectsInFlight int
+	// trials holds the trials of suspect requests by service, while a service has suspects or
+	// a replica that is away.
+	trials map[string]*trials
 }
 
 // tracked is a view with the time of its last use.
 type tracked struct {
 	view     *ranker.View
+	replica  *tracker.Replica
 	lastUsed time.Duration
-	// suspects are the suspect requests in flight, and alone those of them that are to be
-	// alone.
-	suspects, alone int
 }
 
 func newViews(t *tracker.Tracker, zone string, l *limits) *views {
-	return &views{tracker: t, zone: zone, costs: ranker.DefaultCosts, start: time.Now(), limits: l, tracked: map[string]*tracked{}, trials: map[isolator.Fingerprint]time.Duration{}}
+	return &views{tracker: t, zone: zone, costs: ranker.DefaultCosts, start: time.Now(), limits: l, tracked: map[string]*tracked{}, trials: map[string]*trials{}}
 }
 
 func (s *views) now() time.Duration { return time.Since(s.start) }
@@ -70,20 +65,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	if s.isTried(q.suspicion, now) {
-		return Placement{}, nil, &BusyError{reason: inTrial, after: trialRetryAfter}
-	}
 	list, candidates := s.candidates(q, usable, by, now)
 	var limited *BusyError
 	if s.limits.count() > 0 {
 		underWay := !w.Model || ranker.UnderWay(list, w.Parts)
 		list, candidates, limited = s.withRoom(list, candidates, w, now, prioritizer.MaxWait(q.remaining, underWay))
 	}
-	if q.suspicion.alone() && s.noPlaceApart(candidates) {
-		return Placement{}, nil, &BusyError{reason: inTrial, after: trialRetryAfter}
-	}
-	if s.suspectsInFlight > 0 || q.suspicion.alone() {
-		list, candidates = s.apart(list, candidates, q.suspicion, now)
+	list, candidates, err := s.keepApart(q, usable, list, candidates, now)
+	if err != nil {
+		return Placement{}, nil, err
 	}
 	i := s.costs.Choose(list, w, now, rand.IntN)
 	switch {
@@ -100,7 +90,7 @@
 	}
 	view.Begin(w, now)
 	s.limits.book(v.Name, placement.Instance, by, time.Now())
-	s.beginSuspect(placement.Instance, q.suspicion, now+q.remaining)
+	s.beginSuspect(candidates[i], q.suspicion, now+q.remaining)
 	return placement, candidates[i], nil
 }
 
@@ -147,7 +137,7 @@
 			defer s.mu.Unlock()
 			now := s.now()
 			s.view(r, v, now).Begin(w, now)
-			s.beginSuspect(instance, q.suspicion, now+q.remaining)
+			s.beginSuspect(r, q.suspicion, now+q.remaining)
 			return r
 		}
 	}
@@ -173,7 +163,7 @@
 		e = &tracked{view: &ranker.View{ID: r.ID, Local: r.Zone == s.zone, Slots: r.Slots, CacheTokens: v.CacheTokens}}
 		s.tracked[r.Instance()] = e
 	}
-	e.lastUsed = now
+	e.replica, e.lastUsed = r, now
 	return e.view
 }
 
@@ -186,8 +176,8 @@
 	}
 }
 
-// end records the end of a request at a replica.
-func (s *views) end(instance string, p Suspicion, outcome Outcome) {
+// end records the end of a request that was sent to a replica at a time.
+func (s *views) end(instance string, p Suspicion, outcome Outcome, sentAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.tracked[instance]
@@ -195,7 +185,7 @@
 		return
 	}
 	e.view.End()
-	s.endSuspect(e, p)
+	s.endSuspect(e.replica, p, outcome, sentAt.Sub(s.start), s.now())
 	switch outcome {
 	case Served:
 		e.view.Succeeded()
@@ -216,6 +206,13 @@
 			delete(s.tracked, key)
 		}
 	}
+	for service, t := range s.trials {
+		t.absences.observe(s.tracker.Usable(service), s.now())
+		t.forgetHeld(s.now())
+		if t.idle() {
+			delete(s.trials, service)
+		}
+	}
 	s.limits.retain(s.isTracked)
 }
 
