forwarder: [fix] a held request is told when a replica is back; a broken connection is retried

A request that was broken off is held back by the selector until it is known that only its connection broke: it waits for up to 250 ms and goes on at another replica, as before. Without the wait a service of two replicas answered 502. Clients whose requests reach no replica are asked to come back when one is usually back, and after 1 s if five replicas were tried in vain, in place of 250 ms.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -40,10 +40,14 @@
 			Service: selector.Service{Name: j.service.Name, CacheTokens: j.service.CacheTokens}, Work: j.work, Tried: j.tried, Deadline: j.deadline, Suspicion: f.suspicion(j), Version: j.originVersion,
 		})
 		var busy *selector.BusyError
-		if errors.As(err, &busy) && j.possibleRuns == 0 {
+		if errors.As(err, &busy) && f.awaitConfirmation(ctx, j) {
+			continue
+		}
+		if errors.As(err, &busy) && j.possibleRuns == 0 && !busy.AllAway() {
 			return classifier.New(classifier.Overloaded, classifier.RanNo, "service %q: %v", j.service.Name, err).After(withJitter(busy.RetryAfter()))
 		}
 		if err != nil {
+			j.busy = busy
 			break
 		}
 		j.attempts++
@@ -100,7 +104,7 @@
 		if fault := f.refuseWithoutOrigin(j); fault != nil {
 			return fault
 		}
-		return classifier.New(classifier.TargetAway, classifier.RanNo, "%v", cause).After(f.retryAfter())
+		return classifier.New(classifier.TargetAway, classifier.RanNo, "%v", cause).After(f.awayRetryAfter(j))
 	}
 	if code == classifier.TargetAway {
 		code = classifier.TargetBroken
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -1,8 +1,10 @@
 package forwarder
 
 import (
+	"context"
 	"io"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -10,6 +12,18 @@
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
+const (
+	// confirmWait is how long a request that was broken off waits for a replica while it is not
+	// known whether the other replica has ended. The isolator usually knows after a dial, and
+	// asks peers for half a second at most.
+	confirmWait = 250 * time.Millisecond
+	// confirmPoll is the time between two attempts to place such a request.
+	confirmPoll = 50 * time.Millisecond
+	// unreachedRetryAfter is the minimum delay for a client whose request reached none of
+	// maxAttempts replicas. So many are away after crashes, which takes seconds.
+	unreachedRetryAfter = time.Second
+)
+
 // refuseCondemned returns a fault for a request that crashes the replicas that run it. The
 // client is not asked to come back.
 func (f *Forwarder) refuseCondemned(j *job) *classifier.Fault {
@@ -36,6 +50,35 @@
 	}
 }
 
+// awaitConfirmation waits for a while if the request was broken off, so that it is held back
+// only if the replica has ended and not merely its connection. It returns false if the request
+// has waited for long enough.
+func (f *Forwarder) awaitConfirmation(ctx context.Context, j *job) bool {
+	if j.possibleRuns == 0 || j.heldFor >= confirmWait {
+		return false
+	}
+	j.heldFor += confirmPoll
+	select {
+	case <-time.After(confirmPoll):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// awayRetryAfter returns the time after which a client should retry whose request reached no
+// replica.
+func (f *Forwarder) awayRetryAfter(j *job) time.Duration {
+	after := f.options.RetryAfter
+	switch {
+	case j.busy != nil:
+		after = max(after, j.busy.RetryAfter())
+	case j.attempts >= maxAttempts:
+		after = max(after, unreachedRetryAfter)
+	}
+	return withJitter(after)
+}
+
 // isBrokenOff reports whether an exchange failed because the replica closed the connection.
 func isBrokenOff(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -34,6 +34,8 @@
 	mu      sync.Mutex
 	ended   int
 	started int
+	// stays leaves the row of a replica that ended, and starts no other.
+	stays bool
 }
 
 func (f *fixture) startCrashing(n int, c *crashes) {
@@ -62,7 +64,11 @@
 		r.server.CloseClientConnections()
 		c.mu.Lock()
 		c.ended++
+		stays := c.stays
 		c.mu.Unlock()
+		if stays {
+			return
+		}
 		r.fixture.startCrashing(1, c)
 		r.fixture.tracker.Update([]tracker.Row{{ID: fmt.Sprint(r.id)}}, time.Now())
 	})
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -126,6 +126,11 @@
 	// possibleRuns is the number of replicas that may have run the request.
 	possibleRuns int
 	attempts     int
+	// heldFor is how long the request has waited until it is known whether a replica that
+	// broke it off has ended.
+	heldFor time.Duration
+	// busy is the error of the last choice if no replica takes the request, or nil.
+	busy *selector.BusyError
 	// via and tunnel name the peer and the tunnel through which the last attempt was sent,
 	// empty for a direct connection.
 	via, tunnel string
