forwarder: [test] the client of a crashing request comes back as it is told

TestARequestThatCrashesReplicasIsRefused sent a crashing request twelve times within 1.3 s and ignored Retry-After. The client now comes back up to five times as it is told, and must still get 502 without Retry-After after at most three crashes.

--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,8 @@
 	crashingBody = "a body that crashes its replica"
 	// maxCrashes is the number of replicas that one request may crash before it is refused.
 	maxCrashes = 3
+	// maxHeld is how often a suspect may be refused as not run before it is tried.
+	maxHeld = 5
 )
 
 // crashingReplica is a replica whose process ends when it begins to run a crashing request,
@@ -102,8 +105,18 @@
 				last = f.sendBody(fmt.Sprint("crash-", round), path, crashingBody)
 				time.Sleep(100 * time.Millisecond) // The client of a crashed request waits before it comes again.
 			}
+			// While it is held back it has not run, and its client comes back as it is told.
+			for n := 0; n < maxHeld && last.status == http.StatusServiceUnavailable; n++ {
+				after, err := strconv.ParseFloat(last.header.Get("Retry-After"), 64)
+				is.NoErr(err)
+				time.Sleep(time.Duration(after * float64(time.Second)))
+				last = f.sendBody(fmt.Sprint("held-", n), path, crashingBody)
+			}
 			group.Wait()
+			time.Sleep(50 * time.Millisecond) // A replica counts its crash after its connections are closed.
+			c.mu.Lock()
 			is.True(c.ended <= maxCrashes)
+			c.mu.Unlock()
 			is.Equal(last.status, http.StatusBadGateway)
 			is.Equal(last.header.Get("Retry-After"), "")
 		})
