--- a/internal/selector/coordinator.go
+++ b/internal/selector/coordinator.go
@@ -107,7 +107,7 @@
 	d, _ := s.confirmed(q.demand())
 	placement, replica, err := s.views.choose(d, s.scope(q.Service.Name))
 	var busy *BusyError
-	if errors.As(err, &busy) {
+	if errors.As(err, &busy) && !busy.AllAway() {
 		r.Busy, r.RetryAfter, r.Reason = true, busy.after, busy.reason
 	}
 	if r.Seat, r.Found = placement, replica != nil; r.Found {
@@ -142,7 +142,7 @@
 			s.logger.Event("seater", "replica ended").Str("instance", instance).Str("placement", p.ID).End()
 		}
 		if p.Ended {
-			s.views.end(instance, placed.suspicion, p.Outcome)
+			s.views.end(instance, placed.suspicion, p.Outcome, placed.at)
 		}
 	}
 	return nil
