isolator: [fix] a turn's mark includes the turn that it continues

Callers saw 502 (crashes-target) for a turn whose body equals that of a request that crashed replicas, although it continues another turn.

Cause: the mark was computed from caller, method, host, path and body. The replica also receives the history of the parent, so equal bodies with different parents are different requests.

Change: NewTurnMark adds the parent to the fields of the mark. The mark of a request without parent is the same as that of the previous build.

--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -54,6 +54,10 @@
 func (r *crashingReplica) respond(w http.ResponseWriter, q *http.Request, c *crashes) {
 	time.Sleep(20 * time.Millisecond)
 	if q.Header.Get("Body") != crashingBody {
+		if q.Header.Get("Stream") != "" {
+			streamEvents(true)(w, q)
+			return
+		}
 		serveOK(w, q)
 		return
 	}
@@ -122,3 +126,20 @@
 	}
 	s.fixture.t.Errorf("the sound request %s was not served in six attempts", s.name)
 }
+
+// TestTurnsOfOtherParentsAreOtherRequests guards against a turn that is refused because an
+// equal body that continues another turn crashes replicas: the replicas receive the history of
+// the parent too.
+func TestTurnsOfOtherParentsAreOtherRequests(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t).applyRoutes()
+	c := &crashes{}
+	f.startCrashing(6, c)
+	is.Equal(f.sendAs(t.Context(), "first", "POST", "/turn/x", "the first turn", "Stream", "1").status, http.StatusOK)
+	for n := range maxCrashes + 1 {
+		f.sendBody(fmt.Sprint("crash-", n), "/turn/x", crashingBody)
+		time.Sleep(100 * time.Millisecond) // A crash counts once a dial to the replica was refused.
+	}
+	is.Equal(f.sendBody("refused", "/turn/x", crashingBody).status, http.StatusBadGateway)
+	is.Equal(f.sendAs(t.Context(), "second", "POST", "/turn/x", crashingBody, "Body", "sound", "Parent", "first").status, http.StatusOK)
+}
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -50,5 +50,5 @@
 
 // mark returns the mark of what the client sent.
 func (q *Request) mark() isolator.Mark {
-	return isolator.NewMark(q.Body, q.Caller, q.Method, q.Hostname, q.Target)
+	return isolator.NewTurnMark(q.Parent, q.Body, q.Caller, q.Method, q.Hostname, q.Target)
 }
--- a/internal/isolator/fingerprint_test.go
+++ b/internal/isolator/fingerprint_test.go
@@ -22,9 +22,11 @@
 	is := is.New(t)
 	one := isolator.NewMark([]byte("body"), "account", "/path")
 	is.Equal(one, isolator.NewMark([]byte("body"), "account", "/path"))
+	is.Equal(one, isolator.NewTurnMark("", []byte("body"), "account", "/path"))
 	for _, other := range []isolator.Mark{
 		isolator.NewMark([]byte("body"), "other", "/path"), isolator.NewMark([]byte("body"), "account", "/path/"), isolator.NewMark([]byte("body "), "account", "/path"),
 		isolator.NewMark(nil, "account/path", "body"), isolator.NewMark(nil, "account", "/pathbody"), isolator.NewMark(nil, "account", "/path", "body"),
+		isolator.NewTurnMark("turn", []byte("body"), "account", "/path"), isolator.NewTurnMark("body", nil, "account", "/path"),
 	} {
 		is.True(other.Whole != one.Whole && other.Start != one.Start)
 	}
--- a/internal/isolator/mark.go
+++ b/internal/isolator/mark.go
@@ -16,6 +16,16 @@
 // NewMark returns the mark of a request with the given body and other fields, such as its
 // caller and path.
 func NewMark(body []byte, fields ...string) Mark {
+	return NewTurnMark("", body, fields...)
+}
+
+// NewTurnMark returns the mark of a request that continues a turn, or that of NewMark without
+// one.
+func NewTurnMark(parent string, body []byte, fields ...string) Mark {
+	if parent != "" {
+		fields = append(fields[:len(fields):len(fields)], parent)
+	}
+	fields = fields[:len(fields):len(fields)]
 	start := body[:min(startBytes, len(body))]
 	m := Mark{Start: newFingerprint(append(fields, string(start))...)}
 	if m.Whole = m.Start; len(start) < len(body) {
