isolator: [fix] condemn the longest unserved common beginning of crashed bodies

Callers saw 502 (crashes-target) for all turns that begin with the same 256 bytes once three turns of any programs with that start had crashed a replica each, on all daemons, for ten minutes: 0 of about 370 attempts in 20 s.

Cause: the start of a body was condemned in the same way as a whole body. Only requests that the same daemon had served in the last 10 s cleared it, and once it was condemned no request was sent that could clear it.

Change: a body has fingerprints of its beginnings (each 16 bytes up to 512, 64 up to 64 KB, then 1 and 4 KB), hashed in one pass; up to 64 of them are recorded per suspect. The longest beginning that several different bodies at three crashes have in common is condemned, unless a daemon has served a request with it. Daemons remember beginnings that they served for five to ten minutes (two generations of 32,768) and say so in a row once two crashes of different bodies share one. A request with a condemned beginning is held with 503 and a retry-after time. One is tried by all daemons together, claimed by a conditional write, 5, 60 and 300 s after the last crash. The row fields prefixes and trial are new; the previous build reads the rows as before.

TestAConversationIsCondemnedByItsStart expected the 256-byte start to be condemned, which is the fault. TestAConversationIsCondemnedByItsBeginning replaces it: the longest common beginning is condemned, no shorter one, and none that was served.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -33,7 +33,7 @@
 // It returns nil if the client has received a complete response.
 func (f *Forwarder) sendWithRetries(ctx context.Context, w http.ResponseWriter, j *job) *classifier.Fault {
 	for j.attempts < maxAttempts {
-		if fault := f.refuseCondemned(j); fault != nil {
+		if fault := f.refuseUntried(ctx, j); fault != nil {
 			return fault
 		}
 		c, err := f.placements.Choose(ctx, selector.Request{
--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -1,8 +1,10 @@
 package forwarder
 
 import (
+	"context"
 	"io"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -10,19 +12,51 @@
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
-// refuseCondemned returns a fault for a request that crashes the replicas that run it. The
-// client is not asked to come back.
+const (
+	// heldRetryAfter is the time after which a client should retry whose request shares a
+	// condemned beginning while another one is tried, and maxHeldRetryAfter bounds the time
+	// until the next trial that is named to it. The beginning is cleared earlier if one is served.
+	heldRetryAfter    = time.Second
+	maxHeldRetryAfter = 10 * time.Second
+)
+
+// refuseCondemned returns a fault for a request that crashes the replicas that run it, for
+// which the client is not asked to come back, and for one that shares a condemned beginning
+// with such requests and is not to be tried yet.
 func (f *Forwarder) refuseCondemned(j *job) *classifier.Fault {
 	v := f.isolator.Check(j.mark)
-	if !v.Condemned {
+	switch {
+	case v.Condemned:
+		return classifier.New(classifier.CrashesTarget, classifier.RanUnknown, "%d replicas ended while they ran this request; it began and did not finish", v.Crashes)
+	case v.Held && v.RetryAfter > 0:
+		return f.refuseHeld(j, min(v.RetryAfter, maxHeldRetryAfter))
+	}
+	return nil
+}
+
+// refuseUntried is refuseCondemned for a request that is about to be sent. One that shares a
+// condemned beginning begins its trial here.
+func (f *Forwarder) refuseUntried(ctx context.Context, j *job) *classifier.Fault {
+	if fault := f.refuseCondemned(j); fault != nil {
+		return fault
+	}
+	if f.isolator.Try(ctx, j.mark) {
 		return nil
 	}
-	return classifier.New(classifier.CrashesTarget, classifier.RanUnknown, "%d replicas ended while they ran this request; it began and did not finish", v.Crashes)
+	return f.refuseHeld(j, heldRetryAfter)
+}
+
+// refuseHeld returns the fault for a request that shares a condemned beginning.
+func (f *Forwarder) refuseHeld(j *job, after time.Duration) *classifier.Fault {
+	if j.possibleRuns > 0 {
+		return f.fault(j, classifier.TargetBroken)
+	}
+	return classifier.New(classifier.Overloaded, classifier.RanNo, "requests that begin in the same way ended the replicas that ran them; this one is tried later").After(withJitter(after))
 }
 
 // suspicion returns what is known against a request that is about to be sent.
 func (f *Forwarder) suspicion(j *job) selector.Suspicion {
-	return selector.Suspicion{Fingerprint: j.mark.Start, Crashes: f.isolator.Check(j.mark).Crashes}
+	return selector.Suspicion{Fingerprint: f.isolator.Suspected(j.mark), Crashes: f.isolator.Check(j.mark).Crashes}
 }
 
 // recordEvidence records what the end of an attempt says about the request: a response that
--- a/internal/isolator/broken.go
+++ b/internal/isolator/broken.go
@@ -16,15 +16,15 @@
 type brokenOff struct {
 	isolator                   *Isolator
 	service, instance, address string
-	suspects                   []Mark
+	suspects                   []suspect
 }
 
 // add adds a request and returns true if it is new. The caller holds the lock.
 func (b *brokenOff) add(m Mark) bool {
-	if len(b.suspects) >= maxSuspects || slices.Contains(b.suspects, m) {
+	if len(b.suspects) >= maxSuspects || slices.ContainsFunc(b.suspects, func(s suspect) bool { return s.Whole == m.Whole }) {
 		return false
 	}
-	b.suspects = append(b.suspects, m)
+	b.suspects = append(b.suspects, newSuspect(m, b.isolator.found.known))
 	return true
 }
 
--- a/internal/isolator/crash.go
+++ b/internal/isolator/crash.go
@@ -6,6 +6,9 @@
 type crash struct {
 	service string
 	// at is when this daemon learned of it.
-	at       time.Time
-	suspects map[Fingerprint]bool
+	at time.Time
+	// confirmed is set once a daemon has checked that the process has ended.
+	confirmed bool
+	// suspects are the requests by their whole fingerprints.
+	suspects map[Fingerprint]*suspect
 }
--- a/internal/isolator/doc.go
+++ b/internal/isolator/doc.go
@@ -8,5 +8,13 @@
 // refused until its rows expire. A suspect that is not condemned is still served, apart from
 // other suspects (package selector), so that the next crash tells them apart.
 //
+// A client that keeps its conversation itself sends a crashing request with more content each
+// time. Each request therefore has a ladder of fingerprints of beginnings of its body. If
+// several different bodies crashed replicas, the longest beginning that they have in common is
+// condemned, unless a daemon has served a request with that beginning within minutes; it says so
+// in a row. A request with a condemned beginning that was not condemned itself is held: all
+// daemons together try one, alone, at falling intervals. Its success clears the beginning for
+// all daemons, and a crash counts.
+//
 // The judgment (judge) has no clock and no store.
 package isolator
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -5,34 +5,48 @@
 // evidence is the rows of all daemons, joined by the instance that crashed.
 type evidence struct {
 	crashes map[string]*crash
-	// starts are the starts of the marks that have others than the whole.
-	starts map[Fingerprint]Fingerprint
+	// pooled are the beginnings with which daemons have said to have served requests.
+	pooled map[Fingerprint]bool
 	// excused are the instances at whose crashes a suspect was before it was served.
 	excused map[Fingerprint][]string
 }
 
 func newEvidence() *evidence {
-	return &evidence{crashes: map[string]*crash{}, starts: map[Fingerprint]Fingerprint{}, excused: map[Fingerprint][]string{}}
+	return &evidence{crashes: map[string]*crash{}, pooled: map[Fingerprint]bool{}, excused: map[Fingerprint][]string{}}
+}
+
+// addPending adds requests that broke off at an instance whose end is not confirmed yet.
+func (e *evidence) addPending(b *brokenOff, now time.Time) {
+	known := e.crashes[b.instance] != nil
+	e.add(row{Service: b.service, Instance: b.instance, Suspects: b.suspects}, now)
+	e.crashes[b.instance].confirmed = known
 }
 
 // add adds a row that this daemon learned of at a time.
 func (e *evidence) add(r row, at time.Time) {
-	if r.Instance == "" {
+	switch {
+	case r.Trial != "":
+		return
+	case r.Instance == "":
+		for _, f := range r.Prefixes {
+			e.pooled[f] = true
+		}
+		e.pooled[r.Served] = true // The previous build names the start of a body here.
 		e.excused[r.Served] = append(e.excused[r.Served], r.Excused...)
 		return
 	}
 	c := e.crashes[r.Instance]
 	if c == nil {
-		c = &crash{service: r.Service, at: at, suspects: map[Fingerprint]bool{}}
+		c = &crash{service: r.Service, at: at, confirmed: true, suspects: map[Fingerprint]*suspect{}}
 		e.crashes[r.Instance] = c
 	}
 	if at.Before(c.at) {
 		c.at = at
 	}
-	for _, m := range r.Suspects {
-		c.suspects[m.Whole], c.suspects[m.Start] = true, true
-		if m.Whole != m.Start {
-			e.starts[m.Whole] = m.Start
+	for _, s := range r.Suspects {
+		// Daemons of the previous build name no beginnings.
+		if known := c.suspects[s.Whole]; known == nil || len(known.Prefixes) < len(s.Prefixes) {
+			c.suspects[s.Whole] = &s
 		}
 	}
 }
--- a/internal/isolator/export_test.go
+++ b/internal/isolator/export_test.go
@@ -1,6 +1,9 @@
 package isolator
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Crash is a crash of a replica with the marks of its suspects.
 type Crash struct {
@@ -10,14 +13,30 @@
 }
 
 // Judge returns the verdict on each of the suspects' fingerprints.
-func Judge(crashes []Crash) map[Fingerprint]Verdict {
+func Judge(crashes []Crash, served ...Mark) map[Fingerprint]Verdict {
 	e := newEvidence()
 	for n, c := range crashes {
-		e.add(row{Service: c.Service, Instance: string(rune('a' + n)), Suspects: c.Suspects}, c.At)
+		r := row{Service: c.Service, Instance: fmt.Sprint(n)}
+		for _, m := range c.Suspects {
+			r.Suspects = append(r.Suspects, newSuspect(m, nil))
+		}
+		e.add(r, c.At)
+	}
+	for _, m := range served {
+		for _, f := range m.beginnings() {
+			e.pooled[f] = true
+		}
 	}
-	return judge(e.list(), e.starts)
+	found := judge(e.list(), e.pooled, func(Fingerprint) bool { return false })
+	for f, b := range found.beginnings {
+		found.wholes[f] = Verdict{Crashes: b.crashes, Condemned: b.condemned}
+	}
+	return found.wholes
 }
 
+// Beginnings returns the fingerprints of the beginnings of a request, the shortest first.
+func Beginnings(m Mark) []Fingerprint { return m.beginnings() }
+
 // How long crashes are kept.
 const (
 	SuspectRetention   = suspectRetention
--- /dev/null
+++ b/internal/isolator/family.go
@@ -0,0 +1,248 @@
+package isolator
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxFamilies bounds the suspects whose beginnings are compared. Those of crashes with few
+// suspects say most and come first.
+const maxFamilies = 512
+
+// families compares the beginnings of the suspects of crashes that no whole request explains.
+// A beginning that several bodies at crashes have in common is condemned in the same way as a
+// whole request, the longest first, unless a request with it was served.
+type families struct {
+	crashes []scene
+	wholes  map[Fingerprint]int
+	// harmless are the beginnings with which requests were served.
+	harmless map[Fingerprint]bool
+	tallies  map[Fingerprint]*tally
+}
+
+// scene is a crash with its suspects' beginnings.
+type scene struct {
+	crash
+	members []member
+}
+
+// member is a suspect with all its beginnings, the shortest first.
+type member struct {
+	*suspect
+	all []Fingerprint
+}
+
+// tally counts the crashes of a beginning.
+type tally struct {
+	times []time.Time
+	// confirmed is the number of those that are confirmed.
+	confirmed int
+	// crash is the index of the last crash counted, and body one of the bodies.
+	crash   int
+	body    Fingerprint
+	several bool
+}
+
+// newFamilies returns the families of crashes. wholes are the numbers of crashes by request.
+func newFamilies(crashes []crash, wholes map[Fingerprint]int) *families {
+	f := &families{wholes: wholes, harmless: map[Fingerprint]bool{}}
+	crashes = slices.Clone(crashes)
+	slices.SortFunc(crashes, func(a, b crash) int {
+		return cmp.Or(cmp.Compare(len(a.suspects), len(b.suspects)), b.at.Compare(a.at))
+	})
+	left := maxFamilies
+	for _, c := range crashes {
+		if left -= len(c.suspects); left < 0 {
+			break
+		}
+		x := scene{crash: c}
+		for _, s := range c.suspects {
+			x.members = append(x.members, member{suspect: s, all: s.beginnings()})
+		}
+		f.crashes = append(f.crashes, x)
+	}
+	slices.SortFunc(f.crashes, func(a, b scene) int { return a.at.Compare(b.at) })
+	f.count()
+	return f
+}
+
+// count counts the crashes of all beginnings.
+func (f *families) count() {
+	f.tallies = map[Fingerprint]*tally{}
+	for n, c := range f.crashes {
+		for _, s := range c.members {
+			for _, p := range s.all {
+				t := f.tallies[p]
+				if t == nil {
+					t = &tally{crash: -1, body: s.Whole}
+					f.tallies[p] = t
+				}
+				t.several = t.several || t.body != s.Whole
+				if t.crash != n {
+					t.crash, t.times = n, append(t.times, c.at)
+					if c.confirmed {
+						t.confirmed++
+					}
+				}
+			}
+		}
+	}
+}
+
+// crashesOf returns the number of crashes of a beginning that several bodies have, zero for one
+// that was served.
+func (f *families) crashesOf(p Fingerprint) int {
+	if t := f.tallies[p]; t != nil && t.several && len(t.times) > 1 && !f.harmless[p] {
+		return len(t.times)
+	}
+	return 0
+}
+
+// excuse records the beginnings with which requests were served, and those that are shorter. It
+// returns the ones among them that several bodies at confirmed crashes have and that were not excused.
+func (f *families) excuse(served func(Fingerprint) bool) []Fingerprint {
+	found := map[Fingerprint]bool{}
+	for _, c := range f.crashes {
+		for _, s := range c.members {
+			excused := false
+			for _, p := range slices.Backward(s.all) {
+				if excused = excused || served(p); excused && !f.harmless[p] {
+					found[p] = true
+				}
+			}
+		}
+	}
+	var list []Fingerprint
+	for p := range found {
+		if f.crashesOf(p) > 0 && f.tallies[p].confirmed > 1 {
+			list = append(list, p)
+		}
+	}
+	for p := range found {
+		f.harmless[p] = true
+	}
+	slices.SortFunc(list, longerFirst)
+	return list
+}
+
+// longerFirst orders beginnings by length, in the same way in all daemons.
+func longerFirst(a, b Fingerprint) int {
+	return cmp.Or(cmp.Compare(b.index(), a.index()), bytes.Compare(a[:], b[:]))
+}
+
+// judge returns what is known against the beginnings.
+func (f *families) judge() map[Fingerprint]beginning {
+	found := map[Fingerprint]beginning{}
+	all := f.tallies
+	for {
+		guilty, ok := f.pickGuilty()
+		if !ok {
+			break
+		}
+		found[guilty] = f.describe(guilty, all, true)
+		f.removeExplained(guilty)
+		f.count()
+	}
+	for p := range f.tallies {
+		if _, known := found[p]; !known && f.crashesOf(p) > 0 {
+			found[p] = f.describe(p, all, false)
+		}
+	}
+	return found
+}
+
+// describe returns what is known against a beginning. all are the counts before any crash was
+// explained.
+func (f *families) describe(p Fingerprint, all map[Fingerprint]*tally, condemned bool) beginning {
+	times := f.tallies[p].times
+	b := beginning{crashes: len(times), family: len(times), second: times[1], last: times[len(times)-1], condemned: condemned}
+	for _, c := range f.crashes {
+		for _, s := range c.members {
+			if !s.has(p) {
+				continue
+			}
+			for _, shortest := range s.all {
+				if !f.harmless[shortest] {
+					b.family = max(b.family, len(all[shortest].times))
+					break
+				}
+			}
+		}
+	}
+	return b
+}
+
+// pickGuilty returns the longest beginning that explains enough crashes to be condemned.
+func (f *families) pickGuilty() (Fingerprint, bool) {
+	var candidates []Fingerprint
+	for p := range f.tallies {
+		if f.crashesOf(p) >= maxCrashes {
+			candidates = append(candidates, p)
+		}
+	}
+	slices.SortFunc(candidates, longerFirst)
+	for _, p := range candidates {
+		if f.crashesOf(p) >= maxAmbiguous || f.explainedBest(p) >= minExplainedBest {
+			return p, true
+		}
+	}
+	return Fingerprint{}, false
+}
+
+// explainedBest returns the number of crashes at which no request without the beginning was at
+// as many crashes, or has a beginning that was.
+func (f *families) explainedBest(p Fingerprint) int {
+	n := 0
+	for _, c := range f.crashes {
+		if there, rival := f.compare(c, p); there && !rival {
+			n++
+		}
+	}
+	return n
+}
+
+// compare reports whether a request with the beginning was at a crash, and whether another
+// request explains as many crashes.
+func (f *families) compare(c scene, p Fingerprint) (there, rival bool) {
+	own := map[Fingerprint]bool{}
+	for _, s := range c.members {
+		if s.has(p) {
+			there = true
+			for _, o := range s.all {
+				own[o] = true
+			}
+		}
+	}
+	if !there {
+		return false, false
+	}
+	crashes := f.crashesOf(p)
+	for _, s := range c.members {
+		if s.has(p) {
+			continue
+		}
+		if f.wholes[s.Whole] >= crashes {
+			return true, true
+		}
+		for _, o := range s.all {
+			if !own[o] && f.crashesOf(o) >= crashes {
+				return true, true
+			}
+		}
+	}
+	return true, false
+}
+
+// removeExplained removes the crashes that a beginning explains.
+func (f *families) removeExplained(p Fingerprint) {
+	f.crashes = slices.DeleteFunc(f.crashes, func(c scene) bool {
+		for _, s := range c.members {
+			if s.has(p) {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/internal/isolator/fingerprint.go
+++ b/internal/isolator/fingerprint.go
@@ -11,9 +11,9 @@
 // Fingerprint is the hash of what a client sent. The zero value is that of nothing.
 type Fingerprint [16]byte
 
-// newFingerprint returns the fingerprint of a request's fields. It is cryptographic, so that
-// no client can make one that is equal to another's.
-func newFingerprint(fields ...string) Fingerprint {
+// newFingerprint returns the fingerprint of a request's fields and body. It is cryptographic, so
+// that no client can make one that is equal to another's.
+func newFingerprint(body []byte, fields ...string) Fingerprint {
 	h := sha256.New()
 	var size [8]byte
 	for _, f := range fields {
@@ -21,6 +21,9 @@
 		h.Write(size[:])
 		h.Write([]byte(f))
 	}
+	binary.BigEndian.PutUint64(size[:], uint64(len(body)))
+	h.Write(size[:])
+	h.Write(body)
 	var out Fingerprint
 	copy(out[:], h.Sum(nil))
 	return out
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -23,6 +23,9 @@
 	// minCleared is the number of crashes from which on it is recorded that a request was
 	// served. Fewer condemn nobody.
 	minCleared = 2
+	// judgeShare is the ratio of the time between two judgments to that of one, so that a storm
+	// of crashes with many suspects does not occupy the daemon.
+	judgeShare = 10
 )
 
 // Options are the settings of an Isolator.
@@ -50,9 +53,16 @@
 	// unwritten holds the rows that the store has not acknowledged.
 	unwritten map[string]row
 	recent    recent
-	verdicts  map[Fingerprint]Verdict
-	// outdated is set if the verdicts do not follow from what is known now.
+	served    served
+	found     findings
+	// trials are those that this daemon has begun, by beginning.
+	trials map[Fingerprint]trial
+	// prefixes is the number of beginnings in the records.
+	prefixes int
+	// outdated is set if the findings do not follow from what is known now, and judgeAt is when
+	// they may be brought up to date again.
 	outdated bool
+	judgeAt  time.Time
 	// suspects is the number of verdicts, or not zero if they are outdated, for a check
 	// without the lock.
 	suspects atomic.Int64
@@ -62,7 +72,7 @@
 func Start(ctx context.Context, t storer.Table, l *logger.Logger, o Options) *Isolator {
 	i := &Isolator{
 		options: o, table: t, logger: l, wake: make(chan struct{}, 1),
-		records: map[string]record{}, pending: map[string]*brokenOff{}, own: map[string]*brokenOff{}, unwritten: map[string]row{},
+		records: map[string]record{}, pending: map[string]*brokenOff{}, own: map[string]*brokenOff{}, unwritten: map[string]row{}, trials: map[Fingerprint]trial{},
 	}
 	i.tomb, _ = tomb.WithContext(ctx)
 	i.tomb.Go(i.run)
@@ -74,36 +84,73 @@
 	if i.suspects.Load() == 0 {
 		return Verdict{}
 	}
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.judgeLocked(now)
+	v := i.found.wholes[m.Whole]
+	v.Crashes = max(v.Crashes, i.found.beginnings[i.found.shared(m)].crashes)
+	if f, held := i.heldByLocked(m, now); held && !v.Condemned {
+		v.Held, v.RetryAfter = true, i.untilTrialLocked(f, now)
+	}
+	return v
+}
+
+// Suspected returns the fingerprint by which a request is suspect: of what it shares with other
+// suspects, if that was at more crashes than the request itself, or of the whole.
+func (i *Isolator) Suspected(m Mark) Fingerprint {
+	if i.suspects.Load() == 0 {
+		return m.Whole
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.judgeLocked(time.Now())
-	whole, start := i.verdicts[m.Whole], i.verdicts[m.Start]
-	return Verdict{Crashes: max(whole.Crashes, start.Crashes), Condemned: whole.Condemned || start.Condemned}
+	if f := i.found.shared(m); i.found.beginnings[f].crashes > i.found.wholes[m.Whole].Crashes {
+		return f
+	}
+	return m.Whole
 }
 
-// Counts returns the numbers of suspect and of condemned fingerprints.
+// Counts returns the numbers of suspect requests and of condemned fingerprints.
 func (i *Isolator) Counts() (suspects, condemned int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, v := range i.verdicts {
+	for _, v := range i.found.wholes {
 		if v.Condemned {
 			condemned++
 		}
 	}
-	return len(i.verdicts) - condemned, condemned
+	suspects = len(i.found.wholes) - condemned
+	for _, b := range i.found.beginnings {
+		if b.condemned {
+			condemned++
+		}
+	}
+	return suspects, condemned
 }
 
 // Served records that a request got a complete response. If it was at several crashes, all
-// daemons learn that it is not their cause. Later crashes count anew.
+// daemons learn that it is not their cause, and later crashes count anew. If it shares a
+// beginning with suspects, all daemons learn that this is not the cause.
 func (i *Isolator) Served(m Mark) {
 	now := time.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, f := range []Fingerprint{m.Whole, m.Start} {
-		i.recent.add(f, now)
-		if i.verdicts[f].Crashes >= minCleared {
-			i.excuseLocked(f, now)
-		}
+	i.recent.add(m.Whole, now)
+	shares := false
+	for _, f := range m.beginnings() {
+		i.served.add(f, now)
+		_, suspect := i.found.beginnings[f]
+		shares = shares || suspect
+		delete(i.trials, f)
+	}
+	if i.found.wholes[m.Whole].Crashes >= minCleared {
+		i.excuseLocked(m.Whole, now)
+	}
+	if shares {
+		i.changedLocked()
+		i.judgeLocked(now)
+		i.poolLocked(now)
 	}
 }
 
@@ -127,8 +174,8 @@
 	if i.recent.has(m.Whole, now) {
 		return
 	}
-	if i.recent.has(m.Start, now) {
-		m.Start = m.Whole // Other requests with the same start were served.
+	if i.served.has(m.Start) {
+		m.Start = m.Whole // The previous build knows no other sign that it is harmless.
 	}
 	if b := i.own[instance]; b != nil {
 		if b.add(m) {
@@ -158,13 +205,13 @@
 func (i *Isolator) recordLocked(b *brokenOff, now time.Time) {
 	delete(i.pending, b.instance)
 	i.own[b.instance] = b
-	r := row{Service: b.service, Instance: b.instance, Suspects: append([]Mark(nil), b.suspects...)}
+	r := row{Service: b.service, Instance: b.instance, Suspects: append([]suspect(nil), b.suspects...)}
 	i.putOwnLocked(rowName(b.instance, i.options.Name), r, now)
 }
 
 // putOwnLocked adds a record of this daemon and queues its row.
 func (i *Isolator) putOwnLocked(name string, r row, now time.Time) {
-	i.addLocked(name, r, now)
+	i.addLocked(name, r, 0, now)
 	i.unwritten[name] = r
 	i.changedLocked()
 	select {
@@ -179,9 +226,10 @@
 	i.suspects.Store(1)
 }
 
-// judgeLocked judges all suspects anew if anything has changed.
+// judgeLocked judges all suspects anew if anything has changed. It takes no more than a part of
+// the time.
 func (i *Isolator) judgeLocked(now time.Time) {
-	if !i.outdated {
+	if !i.outdated || now.Before(i.judgeAt) {
 		return
 	}
 	i.outdated = false
@@ -190,14 +238,25 @@
 		e.add(r.row, r.seenAt)
 	}
 	for _, b := range i.pending {
-		e.add(row{Service: b.service, Instance: b.instance, Suspects: b.suspects}, now)
+		e.addPending(b, now)
 	}
-	old := i.verdicts
-	i.verdicts = judge(e.list(), e.starts)
-	i.suspects.Store(int64(len(i.verdicts)))
-	for f, v := range i.verdicts {
-		if v.Condemned && !old[f].Condemned {
+	old := i.found
+	i.found = judge(e.list(), e.pooled, i.served.has)
+	i.suspects.Store(int64(len(i.found.wholes)))
+	for f, v := range i.found.wholes {
+		if v.Condemned && !old.wholes[f].Condemned {
 			i.logger.Event("isolator", "request condemned").Str("fingerprint", f.String()).Int("crashes", v.Crashes).End()
 		}
 	}
+	for f, b := range i.found.beginnings {
+		if b.condemned && !old.beginnings[f].condemned {
+			i.logger.Event("isolator", "beginning condemned").Str("fingerprint", f.String()).Int("crashes", b.crashes).Int("family", b.family).End()
+		}
+	}
+	for f, b := range old.beginnings {
+		if b.condemned && !i.found.beginnings[f].condemned {
+			i.logger.Event("isolator", "beginning cleared").Str("fingerprint", f.String()).Int("crashes", b.crashes).End()
+		}
+	}
+	i.judgeAt = now.Add(judgeShare * time.Since(now))
 }
--- a/internal/isolator/judge.go
+++ b/internal/isolator/judge.go
@@ -21,41 +21,52 @@
 
 // Verdict is what is known against a request.
 type Verdict struct {
-	// Crashes is the number of crashes at which it was, apart from those that a condemned
-	// request explains.
+	// Crashes is the number of crashes at which it was, or at which several requests with its
+	// beginning were, apart from those that a condemned request explains.
 	Crashes int
 	// Condemned is set if the request is not to be sent to a replica.
 	Condemned bool
+	// Held is set if the request shares a condemned beginning. It is sent only as a trial, not
+	// earlier than after RetryAfter.
+	Held       bool
+	RetryAfter time.Duration
 }
 
 // judgment derives verdicts from crashes.
 type judgment struct {
-	// crashes are those that are not explained yet, and counts their number by fingerprint.
+	// crashes are those that are not explained yet, and counts their number by request.
 	crashes []crash
 	counts  map[Fingerprint]int
-	// starts are the starts of the marks that have others than the whole.
-	starts map[Fingerprint]Fingerprint
 }
 
 // judge returns the verdicts on all suspects of the crashes. Requests are condemned one after
 // the other, the one with the most crashes first, and the crashes that it explains count
-// against no other. The crashes of an outage condemn nobody.
-func judge(crashes []crash, starts map[Fingerprint]Fingerprint) map[Fingerprint]Verdict {
-	verdicts := map[Fingerprint]Verdict{}
-	j := &judgment{crashes: withoutOutages(crashes), starts: starts}
+// against no other. The crashes of an outage condemn nobody. Then the common beginnings of
+// different requests are judged in the same way; pooled are those that daemons have said to
+// have served, and own reports whether this daemon has.
+func judge(crashes []crash, pooled map[Fingerprint]bool, own func(Fingerprint) bool) findings {
+	j := &judgment{crashes: withoutOutages(crashes)}
+	found := findings{wholes: map[Fingerprint]Verdict{}, known: map[Fingerprint]bool{}}
 	for {
 		j.counts = count(j.crashes)
 		guilty, ok := j.pickGuilty()
 		if !ok {
 			break
 		}
-		verdicts[guilty] = Verdict{Crashes: j.counts[guilty], Condemned: true}
+		found.wholes[guilty] = Verdict{Crashes: j.counts[guilty], Condemned: true}
 		j.removeExplained(guilty)
 	}
 	for f, n := range j.counts {
-		verdicts[f] = Verdict{Crashes: n}
+		found.wholes[f] = Verdict{Crashes: n}
 	}
-	return verdicts
+	f := newFamilies(j.crashes, j.counts)
+	f.excuse(func(p Fingerprint) bool { return pooled[p] })
+	found.unpooled = f.excuse(own)
+	for p := range f.tallies {
+		found.known[p] = true
+	}
+	found.beginnings = f.judge()
+	return found
 }
 
 // count returns the number of crashes of each suspect.
@@ -78,33 +89,19 @@
 		if n < maxCrashes || n < maxAmbiguous && j.explainedBest(f) < minExplainedBest {
 			continue
 		}
-		if !found || j.before(f, best) {
+		if !found || n > j.counts[best] || n == j.counts[best] && bytes.Compare(f[:], best[:]) < 0 {
 			best, found = f, true
 		}
 	}
 	return best, found
 }
 
-// before reports whether f is to be condemned before g: it was at more crashes, or it is the
-// whole of a request, which says more than its start.
-func (j *judgment) before(f, g Fingerprint) bool {
-	if j.counts[f] != j.counts[g] {
-		return j.counts[f] > j.counts[g]
-	}
-	_, wholeF := j.starts[f]
-	_, wholeG := j.starts[g]
-	if wholeF != wholeG {
-		return wholeF
-	}
-	return bytes.Compare(f[:], g[:]) < 0
-}
-
 // explainedBest returns the number of crashes that f explains better than any other request
 // there: no other was at as many crashes, so that f is not one that was always beside it.
 func (j *judgment) explainedBest(f Fingerprint) int {
 	n := 0
 	for _, c := range j.crashes {
-		if c.suspects[f] && !j.hasRival(c, f) {
+		if c.suspects[f] != nil && !j.hasRival(c, f) {
 			n++
 		}
 	}
@@ -114,8 +111,7 @@
 // hasRival reports whether another request of a crash was at as many crashes as f.
 func (j *judgment) hasRival(c crash, f Fingerprint) bool {
 	for rival := range c.suspects {
-		sameRequest := rival == f || j.starts[rival] == f || j.starts[f] == rival
-		if !sameRequest && j.counts[rival] >= j.counts[f] {
+		if rival != f && j.counts[rival] >= j.counts[f] {
 			return true
 		}
 	}
@@ -126,7 +122,7 @@
 func (j *judgment) removeExplained(f Fingerprint) {
 	var left []crash
 	for _, c := range j.crashes {
-		if !c.suspects[f] {
+		if c.suspects[f] == nil {
 			left = append(left, c)
 		}
 	}
--- a/internal/isolator/judge_test.go
+++ b/internal/isolator/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,28 +87,40 @@
 	is.Equal(condemned(crashes), []string{other})
 }
 
-// TestAConversationIsCondemnedByItsStart guards against a crashing request that is never known
-// again because its client sends it with more of the conversation each time, and against the
-// start of a request that is condemned although the whole explains all crashes.
-func TestAConversationIsCondemnedByItsStart(t *testing.T) {
+// isHeld reports whether a beginning of a request is condemned.
+func isHeld(verdicts map[isolator.Fingerprint]isolator.Verdict, m isolator.Mark) bool {
+	return slices.ContainsFunc(isolator.Beginnings(m), func(f isolator.Fingerprint) bool { return verdicts[f].Condemned })
+}
+
+// TestAConversationIsCondemnedByItsBeginning guards against a crashing request that is never
+// known again because its client sends it with more of the conversation each time, against a
+// beginning that is shorter than what the crashing requests have in common, and against the
+// beginning of a request that is condemned although the whole explains all crashes.
+func TestAConversationIsCondemnedByItsBeginning(t *testing.T) {
 	is := is.New(t)
-	start := make([]byte, 300)
+	conversation := func(common int, more string) isolator.Mark {
+		return isolator.NewMark(append(make([]byte, common), more...), "/path")
+	}
 	var marks []isolator.Mark
 	var crashes []isolator.Crash
 	for n := range 3 {
-		marks = append(marks, isolator.NewMark(append(start[:300:300], fmt.Sprint(n)...), "/path"))
+		marks = append(marks, conversation(300, fmt.Sprint(n)))
 		c := crashOf(float64(n))
 		c.Suspects = []isolator.Mark{marks[n]}
 		crashes = append(crashes, c)
 	}
 	verdicts := isolator.Judge(crashes)
-	is.True(verdicts[marks[0].Start].Condemned)
+	is.True(isHeld(verdicts, marks[0]))
+	is.True(isHeld(verdicts, conversation(300, "and more of it")))
+	is.True(!isHeld(verdicts, conversation(280, "another conversation with the same start")))
+	is.True(!isHeld(isolator.Judge(crashes, conversation(300, "a sound one")), marks[0]))
+	is.True(isHeld(isolator.Judge(crashes, conversation(270, "a sound one")), marks[0]))
 	for n := range crashes {
 		crashes[n].Suspects = marks[:1]
 	}
 	verdicts = isolator.Judge(crashes)
 	is.True(verdicts[marks[0].Whole].Condemned)
-	is.True(!verdicts[marks[0].Start].Condemned)
+	is.True(!isHeld(verdicts, marks[0]))
 }
 
 // TestInnocentsAreNotCondemned draws storms of crashes: one request ends all replicas at which
--- a/internal/isolator/mark.go
+++ b/internal/isolator/mark.go
@@ -7,10 +7,12 @@
 // added to it on its way.
 type Mark struct {
 	// Whole is the fingerprint of all of it.
-	Whole Fingerprint `json:"whole"`
+	Whole Fingerprint
 	// Start is that of the same request with the start of its body only. A conversation that
 	// its client keeps comes again with more at its end.
-	Start Fingerprint `json:"start"`
+	Start Fingerprint
+	// prefixes are the fingerprints of the beginnings of the body, the shortest first.
+	prefixes []Fingerprint
 }
 
 // NewMark returns the mark of a request with the given body and other fields, such as its
@@ -25,14 +27,19 @@
 	if parent != "" {
 		fields = append(fields[:len(fields):len(fields)], parent)
 	}
-	fields = fields[:len(fields):len(fields)]
 	start := body[:min(startBytes, len(body))]
-	m := Mark{Start: newFingerprint(append(fields, string(start))...)}
+	m := Mark{Start: newFingerprint(start, fields...), prefixes: newPrefixes(parent != "", body, fields...)}
 	if m.Whole = m.Start; len(start) < len(body) {
-		m.Whole = newFingerprint(append(fields, string(body))...)
+		m.Whole = newFingerprint(body, fields...)
 	}
 	return m
 }
 
+// beginnings returns the fingerprints of all beginnings, the shortest first.
+func (m Mark) beginnings() []Fingerprint {
+	s := suspect{Whole: m.Whole, Start: m.Start, Prefixes: m.prefixes}
+	return s.beginnings()
+}
+
 // String returns both fingerprints in hexadecimal.
 func (m Mark) String() string { return m.Whole.String() + "/" + m.Start.String() }
--- a/internal/isolator/row.go
+++ b/internal/isolator/row.go
@@ -12,8 +12,8 @@
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
-// Table is the table, with its partition, that holds a row for each crash and daemon, and one
-// for each suspect that was served.
+// Table is the table, with its partition, that holds a row for each crash and daemon, one for
+// each suspect that was served and one for each condemned beginning that was tried.
 const Table = "crashes/all"
 
 // row is the value of a row: the requests that one daemon had at a replica that crashed, or,
@@ -21,9 +21,14 @@
 type row struct {
 	Service  string      `json:"service"`
 	Instance string      `json:"instance"`
-	Suspects []Mark      `json:"suspects"`
+	Suspects []suspect   `json:"suspects"`
 	Served   Fingerprint `json:"served"`
 	Excused  []string    `json:"excused"`
+	// Prefixes are beginnings with which the daemon served requests; Served is the longest.
+	Prefixes prefixes `json:"prefixes,omitempty"`
+	// Trial names the daemon that last began to try a request with the condemned beginning
+	// Served. Daemons that don't know of it find no excused instance.
+	Trial string `json:"trial,omitempty"`
 }
 
 // equal reports whether a row has not grown into another. Rows only grow.
@@ -33,7 +38,7 @@
 
 // has reports whether a request with a fingerprint was at the crash.
 func (r row) has(f Fingerprint) bool {
-	return slices.ContainsFunc(r.Suspects, func(m Mark) bool { return m.Whole == f || m.Start == f })
+	return slices.ContainsFunc(r.Suspects, func(s suspect) bool { return s.Whole == f })
 }
 
 // rowName returns the name of the row that a daemon writes for an instance.
@@ -45,10 +50,43 @@
 // servedName returns the name of the row in which a daemon says that a suspect was served.
 func servedName(f Fingerprint, daemon string) string { return "served-" + f.String() + "-" + daemon }
 
-// record is a row with the time at which this daemon learned of it.
+// pooledName returns the name of the row in which a daemon says that it served requests with
+// beginnings. Other beginnings have another name, so that the content of a row never changes.
+func pooledName(list prefixes, daemon string) string {
+	text := make([]string, len(list))
+	for n, f := range list {
+		text[n] = f.String()
+	}
+	return servedName(newFingerprint(nil, text...), daemon)
+}
+
+// trialName returns the name of the row of the trials of a beginning.
+func trialName(f Fingerprint) string { return "trial-" + f.String() }
+
+// record is a row with the time at which this daemon learned of it, and its version if it
+// came from the store.
 type record struct {
 	row
-	seenAt time.Time
+	seenAt  time.Time
+	version uint64
+}
+
+// prefixCount returns the number of beginnings in the row.
+func (r row) prefixCount() int {
+	n := len(r.Prefixes)
+	for _, s := range r.Suspects {
+		n += len(s.Prefixes)
+	}
+	return n
+}
+
+// withoutPrefixes returns the row without the beginnings of its suspects.
+func (r row) withoutPrefixes() row {
+	r.Suspects = slices.Clone(r.Suspects)
+	for n := range r.Suspects {
+		r.Suspects[n].Prefixes = nil
+	}
+	return r
 }
 
 func decodeRow(r storer.Row) (row, error) {
--- a/internal/isolator/rows.go
+++ b/internal/isolator/rows.go
@@ -22,6 +22,8 @@
 	writeTimeout = time.Second
 	writeBackoff = 200 * time.Millisecond
 	maxBatch     = 50
+	// maxPrefixes bounds the beginnings in memory. 131,072 take 2 MB.
+	maxPrefixes = 131072
 )
 
 // Replace implements follower.Sink.
@@ -73,15 +75,13 @@
 		i.logger.Event("isolator", "row ignored").Err(err).End()
 		return
 	}
-	i.addLocked(r.Name(), v, now)
+	i.addLocked(r.Name(), v, r.Version, now)
 }
 
 // addLocked adds or replaces a record. If there are too many, the oldest gives way.
-func (i *Isolator) addLocked(name string, r row, now time.Time) {
-	seenAt := now
-	if old, known := i.records[name]; known {
-		seenAt = old.seenAt
-	} else if len(i.records) >= maxRecords {
+func (i *Isolator) addLocked(name string, r row, version uint64, now time.Time) {
+	old, known := i.records[name]
+	if !known && len(i.records) >= maxRecords {
 		oldest := ""
 		for n, o := range i.records {
 			if oldest == "" || o.seenAt.Before(i.records[oldest].seenAt) {
@@ -90,7 +90,32 @@
 		}
 		i.forgetLocked(oldest)
 	}
-	i.records[name] = record{r, seenAt}
+	seenAt := now
+	if known && (r.Trial == "" || version == old.version) {
+		seenAt = old.seenAt
+	}
+	i.prefixes += r.prefixCount() - old.prefixCount()
+	i.records[name] = record{row: r, seenAt: seenAt, version: version}
+	i.boundPrefixesLocked()
+}
+
+// boundPrefixesLocked removes the beginnings of the oldest records if there are too many.
+func (i *Isolator) boundPrefixesLocked() {
+	for i.prefixes > maxPrefixes {
+		oldest := ""
+		for n, o := range i.records {
+			if o.Instance != "" && o.prefixCount() > 0 && (oldest == "" || o.seenAt.Before(i.records[oldest].seenAt)) {
+				oldest = n
+			}
+		}
+		if oldest == "" {
+			return
+		}
+		o := i.records[oldest]
+		i.prefixes -= o.prefixCount()
+		o.row = o.withoutPrefixes()
+		i.records[oldest] = o
+	}
 }
 
 // run writes the queued rows and removes expired ones.
@@ -155,6 +180,8 @@
 	var tx storer.Transaction
 	i.mu.Lock()
 	i.judgeLocked(now)
+	i.poolLocked(now)
+	i.expireTrialsLocked(now)
 	for name, r := range i.records {
 		if now.Sub(r.seenAt) < i.retentionLocked(r.row)+rand.N(removalJitter) {
 			continue
@@ -179,15 +206,19 @@
 // forgetLocked forgets a row.
 func (i *Isolator) forgetLocked(name string) {
 	delete(i.own, i.records[name].Instance)
+	i.prefixes -= i.records[name].prefixCount()
 	delete(i.records, name)
 	delete(i.unwritten, name)
 	i.changedLocked()
 }
 
-// retentionLocked returns how long a crash is kept.
+// retentionLocked returns how long a row is kept.
 func (i *Isolator) retentionLocked(r row) time.Duration {
-	for _, m := range r.Suspects {
-		if i.verdicts[m.Whole].Condemned || i.verdicts[m.Start].Condemned {
+	if r.Trial != "" || len(r.Prefixes) > 0 {
+		return condemnedRetention
+	}
+	for _, s := range r.Suspects {
+		if i.found.condemns(&s) {
 			return condemnedRetention
 		}
 	}
