isolator: [fix] tell crashing requests of one moment from an outage

Callers saw four different crashing requests that come at the same moment crash ten replicas each, seven of them later than 3 s after the third crash.

Cause: withoutOutages left out the crashes of four or more replicas of a service within 0.5 s that had no request in common, and did so anew each time.

Change: such crashes form a batch. A batch counts once for each request that was there, and only if each of its replicas had a request that was at five or more separate batches. A request is condemned by three crashes that look like no outage, as before, or by five batches that count, if at least three in four of the outages at which it was count and it explains two batches best. One outage says nothing against a request.

--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -37,7 +37,7 @@
 	}
 	c := e.crashes[r.Instance]
 	if c == nil {
-		c = &crash{service: r.Service, at: at, confirmed: true, suspects: map[Fingerprint]*suspect{}}
+		c = &crash{service: r.Service, instance: r.Instance, at: at, confirmed: true, suspects: map[Fingerprint]*suspect{}}
 		e.crashes[r.Instance] = c
 	}
 	if at.Before(c.at) {
--- a/internal/isolator/family.go
+++ b/internal/isolator/family.go
@@ -16,7 +16,9 @@
 // whole request, the longest first, unless a request with it was served.
 type families struct {
 	crashes []scene
-	wholes  map[Fingerprint]int
+	// wholes are the counts of whole requests, and sizes the numbers of crashes by batch.
+	wholes map[Fingerprint]*attendance
+	sizes  map[int]int
 	// harmless are the beginnings with which requests were served.
 	harmless map[Fingerprint]bool
 	tallies  map[Fingerprint]*tally
@@ -36,19 +38,23 @@
 
 // tally counts the crashes of a beginning.
 type tally struct {
-	times []time.Time
-	// confirmed is the number of those that are confirmed.
+	attendance
+	// times are those of the first crash of each batch, and confirmed is the number of batches
+	// that are confirmed.
+	times     []time.Time
 	confirmed int
-	// crash is the index of the last crash counted, and body one of the bodies.
-	crash   int
+	// body is one of the bodies with the beginning, and several is set if there are others.
 	body    Fingerprint
 	several bool
 }
 
-// newFamilies returns the families of crashes. wholes are the numbers of crashes by request.
-func newFamilies(crashes []crash, wholes map[Fingerprint]int) *families {
-	f := &families{wholes: wholes, harmless: map[Fingerprint]bool{}}
+// newFamilies returns the families of crashes. wholes are the counts of whole requests.
+func newFamilies(crashes []crash, wholes map[Fingerprint]*attendance) *families {
+	f := &families{wholes: wholes, harmless: map[Fingerprint]bool{}, sizes: map[int]int{}}
 	crashes = slices.Clone(crashes)
+	for _, c := range crashes {
+		f.sizes[c.batch]++
+	}
 	slices.SortFunc(crashes, func(a, b crash) int {
 		return cmp.Or(cmp.Compare(len(a.suspects), len(b.suspects)), b.at.Compare(a.at))
 	})
@@ -63,25 +69,27 @@
 		}
 		f.crashes = append(f.crashes, x)
 	}
-	slices.SortFunc(f.crashes, func(a, b scene) int { return a.at.Compare(b.at) })
-	f.count()
+	slices.SortFunc(f.crashes, func(a, b scene) int { return cmp.Or(cmp.Compare(a.batch, b.batch), a.at.Compare(b.at)) })
+	f.count(nil)
 	return f
 }
 
-// count counts the crashes of all beginnings.
-func (f *families) count() {
+// count counts the crashes of all beginnings. explained are the outages that count.
+func (f *families) count(explained map[int]bool) {
 	f.tallies = map[Fingerprint]*tally{}
-	for n, c := range f.crashes {
+	for _, c := range f.crashes {
 		for _, s := range c.members {
 			for _, p := range s.all {
 				t := f.tallies[p]
 				if t == nil {
-					t = &tally{crash: -1, body: s.Whole}
+					t = &tally{body: s.Whole}
 					f.tallies[p] = t
 				}
 				t.several = t.several || t.body != s.Whole
-				if t.crash != n {
-					t.crash, t.times = n, append(t.times, c.at)
+				before := t.batches()
+				t.add(&c.crash, explained[c.batch])
+				if t.batches() > before {
+					t.times = append(t.times, c.at)
 					if c.confirmed {
 						t.confirmed++
 					}
@@ -91,13 +99,52 @@
 	}
 }
 
-// crashesOf returns the number of crashes of a beginning that several bodies have, zero for one
-// that was served.
+// explainedOutages returns the outages in which each replica had a request that was at
+// minBatches or more, or one with a beginning that was.
+func (f *families) explainedOutages() map[int]bool {
+	left := map[int]int{}
+	for _, c := range f.crashes {
+		if c.outage && f.hasRepeater(c) {
+			left[c.batch]++
+		}
+	}
+	explained := map[int]bool{}
+	for batch, n := range left {
+		explained[batch] = n == f.sizes[batch]
+	}
+	return explained
+}
+
+// hasRepeater reports whether a request of a crash, or a beginning of one, was at minBatches or
+// more.
+func (f *families) hasRepeater(c scene) bool {
+	for _, s := range c.members {
+		if f.wholes[s.Whole].batches() >= minBatches {
+			return true
+		}
+		for _, p := range s.all {
+			if f.isShared(p) && f.tallies[p].batches() >= minBatches {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isShared reports whether several bodies at several batches have a beginning, and no request
+// with it was served.
+func (f *families) isShared(p Fingerprint) bool {
+	t := f.tallies[p]
+	return t != nil && t.several && len(t.times) > 1 && !f.harmless[p]
+}
+
+// crashesOf returns the number of batches that count against a beginning, zero for one that
+// was served.
 func (f *families) crashesOf(p Fingerprint) int {
-	if t := f.tallies[p]; t != nil && t.several && len(t.times) > 1 && !f.harmless[p] {
-		return len(t.times)
+	if !f.isShared(p) {
+		return 0
 	}
-	return 0
+	return f.tallies[p].counted()
 }
 
 // excuse records the beginnings with which requests were served, and those that are shorter. It
@@ -116,7 +163,7 @@
 	}
 	var list []Fingerprint
 	for p := range found {
-		if f.crashesOf(p) > 0 && f.tallies[p].confirmed > 1 {
+		if f.isShared(p) && f.tallies[p].confirmed > 1 {
 			list = append(list, p)
 		}
 	}
@@ -135,18 +182,20 @@
 // judge returns what is known against the beginnings.
 func (f *families) judge() map[Fingerprint]beginning {
 	found := map[Fingerprint]beginning{}
+	explained := f.explainedOutages()
+	f.count(explained)
 	all := f.tallies
 	for {
-		guilty, ok := f.pickGuilty()
+		guilty, ok := f.pickGuilty(explained)
 		if !ok {
 			break
 		}
 		found[guilty] = f.describe(guilty, all, true)
 		f.removeExplained(guilty)
-		f.count()
+		f.count(explained)
 	}
 	for p := range f.tallies {
-		if _, known := found[p]; !known && f.crashesOf(p) > 0 {
+		if _, known := found[p]; !known && f.isShared(p) {
 			found[p] = f.describe(p, all, false)
 		}
 	}
@@ -156,8 +205,9 @@
 // describe returns what is known against a beginning. all are the counts before any crash was
 // explained.
 func (f *families) describe(p Fingerprint, all map[Fingerprint]*tally, condemned bool) beginning {
-	times := f.tallies[p].times
-	b := beginning{crashes: len(times), family: len(times), second: times[1], last: times[len(times)-1], condemned: condemned}
+	t := f.tallies[p]
+	times := t.times
+	b := beginning{crashes: t.crashes(), family: t.batches(), second: times[1], last: times[len(times)-1], condemned: condemned}
 	for _, c := range f.crashes {
 		for _, s := range c.members {
 			if !s.has(p) {
@@ -165,7 +215,7 @@
 			}
 			for _, shortest := range s.all {
 				if !f.harmless[shortest] {
-					b.family = max(b.family, len(all[shortest].times))
+					b.family = max(b.family, all[shortest].batches())
 					break
 				}
 			}
@@ -175,28 +225,37 @@
 }
 
 // pickGuilty returns the longest beginning that explains enough crashes to be condemned.
-func (f *families) pickGuilty() (Fingerprint, bool) {
+func (f *families) pickGuilty(explained map[int]bool) (Fingerprint, bool) {
 	var candidates []Fingerprint
-	for p := range f.tallies {
-		if f.crashesOf(p) >= maxCrashes {
+	for p, t := range f.tallies {
+		if t.isEnough() && f.isShared(p) {
 			candidates = append(candidates, p)
 		}
 	}
 	slices.SortFunc(candidates, longerFirst)
 	for _, p := range candidates {
-		if f.crashesOf(p) >= maxAmbiguous || f.explainedBest(p) >= minExplainedBest {
+		if f.tallies[p].isAmbiguous() || f.explainedBest(p, explained) >= minExplainedBest {
 			return p, true
 		}
 	}
 	return Fingerprint{}, false
 }
 
-// explainedBest returns the number of crashes at which no request without the beginning was at
+// explainedBest returns the number of batches at which no request without the beginning was at
 // as many crashes, or has a beginning that was.
-func (f *families) explainedBest(p Fingerprint) int {
-	n := 0
+func (f *families) explainedBest(p Fingerprint, explained map[int]bool) int {
+	rivals := map[int]bool{}
 	for _, c := range f.crashes {
-		if there, rival := f.compare(c, p); there && !rival {
+		if c.outage && !explained[c.batch] {
+			continue
+		}
+		if there, rival := f.compare(c, p); there {
+			rivals[c.batch] = rivals[c.batch] || rival
+		}
+	}
+	n := 0
+	for _, rival := range rivals {
+		if !rival {
 			n++
 		}
 	}
@@ -223,7 +282,7 @@
 		if s.has(p) {
 			continue
 		}
-		if f.wholes[s.Whole] >= crashes {
+		if f.wholes[s.Whole].counted() >= crashes {
 			return true, true
 		}
 		for _, o := range s.all {
--- a/internal/isolator/judge.go
+++ b/internal/isolator/judge.go
@@ -13,10 +13,6 @@
 	minExplainedBest = 2
 	// maxAmbiguous is the number of crashes after which it is condemned in any case.
 	maxAmbiguous = 6
-	// outageSpan is the time within which the crashes of an outage follow each other, and
-	// minOutage the number of replicas of a service that it ends at least.
-	outageSpan = 500 * time.Millisecond
-	minOutage  = 4
 )
 
 // Verdict is what is known against a request.
@@ -34,30 +30,35 @@
 
 // judgment derives verdicts from crashes.
 type judgment struct {
-	// crashes are those that are not explained yet, and counts their number by request.
+	// crashes are those that are not explained yet, and counts their batches by request.
 	crashes []crash
-	counts  map[Fingerprint]int
+	counts  map[Fingerprint]*attendance
+	// explained are the outages in which each replica had a request that was at several.
+	explained map[int]bool
 }
 
 // judge returns the verdicts on all suspects of the crashes. Requests are condemned one after
 // the other, the one with the most crashes first, and the crashes that it explains count
-// against no other. The crashes of an outage condemn nobody. Then the common beginnings of
-// different requests are judged in the same way; pooled are those that daemons have said to
-// have served, and own reports whether this daemon has.
+// against no other. Crashes that look like an outage count only if requests that were at many
+// separate batches explain all of it. Then the common beginnings of different requests are
+// judged in the same way; pooled are those that daemons have said to have served, and own
+// reports whether this daemon has.
 func judge(crashes []crash, pooled map[Fingerprint]bool, own func(Fingerprint) bool) findings {
-	j := &judgment{crashes: withoutOutages(crashes)}
+	j := newJudgment(crashes)
 	found := findings{wholes: map[Fingerprint]Verdict{}, known: map[Fingerprint]bool{}}
 	for {
-		j.counts = count(j.crashes)
 		guilty, ok := j.pickGuilty()
 		if !ok {
 			break
 		}
-		found.wholes[guilty] = Verdict{Crashes: j.counts[guilty], Condemned: true}
+		found.wholes[guilty] = Verdict{Crashes: j.counts[guilty].batches(), Condemned: true}
 		j.removeExplained(guilty)
+		j.count()
 	}
-	for f, n := range j.counts {
-		found.wholes[f] = Verdict{Crashes: n}
+	for f, a := range j.counts {
+		if n := a.crashes(); n > 0 {
+			found.wholes[f] = Verdict{Crashes: n}
+		}
 	}
 	f := newFamilies(j.crashes, j.counts)
 	f.excuse(func(p Fingerprint) bool { return pooled[p] })
@@ -69,15 +70,41 @@
 	return found
 }
 
-// count returns the number of crashes of each suspect.
-func count(crashes []crash) map[Fingerprint]int {
-	counts := map[Fingerprint]int{}
-	for _, c := range crashes {
+func newJudgment(crashes []crash) *judgment {
+	j := &judgment{crashes: batched(crashes)}
+	j.count()
+	j.explained = map[int]bool{}
+	for _, c := range j.crashes {
+		known, seen := j.explained[c.batch]
+		j.explained[c.batch] = (known || !seen) && j.hasRepeater(c)
+	}
+	j.count()
+	return j
+}
+
+// hasRepeater reports whether a request of a crash was at minBatches or more.
+func (j *judgment) hasRepeater(c crash) bool {
+	for f := range c.suspects {
+		if j.counts[f].batches() >= minBatches {
+			return true
+		}
+	}
+	return false
+}
+
+// count counts the batches of each suspect.
+func (j *judgment) count() {
+	j.counts = map[Fingerprint]*attendance{}
+	for _, c := range j.crashes {
 		for f := range c.suspects {
-			counts[f]++
+			a := j.counts[f]
+			if a == nil {
+				a = &attendance{}
+				j.counts[f] = a
+			}
+			a.add(&c, j.explained[c.batch])
 		}
 	}
-	return counts
 }
 
 // pickGuilty returns the request with the most crashes, if they are enough to condemn it. Of
@@ -85,23 +112,29 @@
 func (j *judgment) pickGuilty() (Fingerprint, bool) {
 	var best Fingerprint
 	found := false
-	for f, n := range j.counts {
-		if n < maxCrashes || n < maxAmbiguous && j.explainedBest(f) < minExplainedBest {
+	for f, a := range j.counts {
+		if !a.isEnough() || !a.isAmbiguous() && j.explainedBest(f) < minExplainedBest {
 			continue
 		}
-		if !found || n > j.counts[best] || n == j.counts[best] && bytes.Compare(f[:], best[:]) < 0 {
+		if !found || a.counted() > j.counts[best].counted() || a.counted() == j.counts[best].counted() && bytes.Compare(f[:], best[:]) < 0 {
 			best, found = f, true
 		}
 	}
 	return best, found
 }
 
-// explainedBest returns the number of crashes that f explains better than any other request
+// explainedBest returns the number of batches that f explains better than any other request
 // there: no other was at as many crashes, so that f is not one that was always beside it.
 func (j *judgment) explainedBest(f Fingerprint) int {
-	n := 0
+	rivals := map[int]bool{}
 	for _, c := range j.crashes {
-		if c.suspects[f] != nil && !j.hasRival(c, f) {
+		if c.suspects[f] != nil && (!c.outage || j.explained[c.batch]) {
+			rivals[c.batch] = rivals[c.batch] || j.hasRival(c, f)
+		}
+	}
+	n := 0
+	for _, rival := range rivals {
+		if !rival {
 			n++
 		}
 	}
@@ -111,7 +144,7 @@
 // hasRival reports whether another request of a crash was at as many crashes as f.
 func (j *judgment) hasRival(c crash, f Fingerprint) bool {
 	for rival := range c.suspects {
-		if rival != f && j.counts[rival] >= j.counts[f] {
+		if rival != f && j.counts[rival].counted() >= j.counts[f].counted() {
 			return true
 		}
 	}
@@ -128,25 +161,3 @@
 	}
 	j.crashes = left
 }
-
-// withoutOutages returns the crashes that do not belong to an outage: many replicas of a
-// service that end together and had no request in common.
-func withoutOutages(crashes []crash) []crash {
-	var left []crash
-	for _, c := range crashes {
-		var near []crash
-		for _, o := range crashes {
-			if d := o.at.Sub(c.at); o.service == c.service && d.Abs() <= outageSpan {
-				near = append(near, o)
-			}
-		}
-		common := 0
-		for _, n := range count(near) {
-			common = max(common, n)
-		}
-		if len(near) < minOutage || 2*common > len(near) {
-			left = append(left, c)
-		}
-	}
-	return left
-}
