isolator: [fix] keep what belongs to a condemned beginning, and the times of late rows

- A request that adds 700 bytes each time reached 9 replicas, 5 late: crashes that share only a shorter beginning of the family expired after a minute, and the trials began anew at 5 s.
They are now kept for ten minutes.
- A request among five that crash replicas at once reached 15 replicas, 7 late: growing requests did not help to explain a batch.
- A daemon that starts learned of all crashes at once and took them for one outage.
A row has the time of the crash (field at), which is used if the row comes more than 1 s after it.
TestCrashingRequestsOfOneMoment fails without this at the daemon that starts last.

--- a/internal/forwarder/crash_test.go
+++ b/internal/forwarder/crash_test.go
@@ -143,3 +143,29 @@
 	is.Equal(f.sendBody("refused", "/turn/x", crashingBody).status, http.StatusBadGateway)
 	is.Equal(f.sendAs(t.Context(), "second", "POST", "/turn/x", crashingBody, "Body", "sound", "Parent", "first").status, http.StatusOK)
 }
+
+// TestARequestWithACondemnedBeginningIsTried guards against sound requests that are refused for
+// good because several crashing requests begin in the same way: they are refused as not run,
+// with a time to come back, until one was tried and served.
+func TestARequestWithACondemnedBeginningIsTried(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t).applyRoutes()
+	c := &crashes{}
+	f.startCrashing(6, c)
+	begin := strings.Repeat("the same prompt ", 20)
+	send := func(id, kind string) response {
+		return f.sendAs(t.Context(), id, "POST", "/unsafe/x", begin+id, "Body", kind)
+	}
+	for n := range maxCrashes {
+		is.Equal(send(fmt.Sprint(n, " crashing"), crashingBody).status, http.StatusBadGateway)
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second) // Other daemons have time to say that they served such requests.
+	refused := send("a sound one", "sound")
+	is.Equal(refused.status, http.StatusServiceUnavailable)
+	is.True(refused.header.Get("Retry-After") != "")
+	time.Sleep(4 * time.Second)
+	is.Equal(send("a sound one", "sound").status, http.StatusOK)
+	is.Equal(send("another sound one", "sound").status, http.StatusOK)
+	is.Equal(c.ended, maxCrashes)
+}
--- a/internal/isolator/batches_test.go
+++ b/internal/isolator/batches_test.go
@@ -13,7 +13,7 @@
 
 // TestCrashingRequestsOfOneMoment guards against several crashing requests that come at the
 // same moment and are taken for an outage each time. Each crashes a replica with sound requests
-// beside it. A retry is late if it is sent more than 3 s after the third crash.
+// beside it. A daemon that starts later learns of all crashes at once. A retry is late if it is sent more than 3 s after the third crash.
 func TestCrashingRequestsOfOneMoment(t *testing.T) {
 	for _, every := range []time.Duration{time.Second, 4 * time.Second} {
 		t.Run(every.String(), func(t *testing.T) {
@@ -43,7 +43,9 @@
 					time.Sleep(every)
 				}
 				t.Log(crashes, late)
+				restarted := d.start()
 				for n := range 4 {
+					is.True(restarted.Check(mark(fmt.Sprint("crashing ", n))).Condemned)
 					is.True(late[n] <= 3)
 					is.True(crashes[n] <= 6)
 				}
--- a/internal/isolator/beginning.go
+++ b/internal/isolator/beginning.go
@@ -22,6 +22,8 @@
 	// served. Crashes of a request that comes with more content each time count in the family
 	// although the longest common beginning changes.
 	crashes, family int
+	// roots are the shortest beginnings that were not served.
+	roots []Fingerprint
 	// second and last are the times of the second and of the last crash.
 	second, last time.Time
 	condemned    bool
--- a/internal/isolator/broken.go
+++ b/internal/isolator/broken.go
@@ -17,6 +17,8 @@
 	isolator                   *Isolator
 	service, instance, address string
 	suspects                   []suspect
+	// at is when the end of the instance was confirmed.
+	at time.Time
 }
 
 // add adds a request and returns true if it is new. The caller holds the lock.
--- a/internal/isolator/family.go
+++ b/internal/isolator/family.go
@@ -179,10 +179,9 @@
 	return cmp.Or(cmp.Compare(b.index(), a.index()), bytes.Compare(a[:], b[:]))
 }
 
-// judge returns what is known against the beginnings.
-func (f *families) judge() map[Fingerprint]beginning {
+// judge returns what is known against the beginnings. explained are the outages that count.
+func (f *families) judge(explained map[int]bool) map[Fingerprint]beginning {
 	found := map[Fingerprint]beginning{}
-	explained := f.explainedOutages()
 	f.count(explained)
 	all := f.tallies
 	for {
@@ -216,6 +215,7 @@
 			for _, shortest := range s.all {
 				if !f.harmless[shortest] {
 					b.family = max(b.family, all[shortest].batches())
+					b.roots = append(b.roots, shortest)
 					break
 				}
 			}
--- a/internal/isolator/findings.go
+++ b/internal/isolator/findings.go
@@ -13,17 +13,25 @@
 	known map[Fingerprint]bool
 }
 
-// condemns reports whether a suspect or one of its beginnings is condemned.
-func (f *findings) condemns(s *suspect) bool {
-	if f.wholes[s.Whole].Condemned || f.beginnings[s.Start].condemned {
-		return true
+// retained returns the suspects that are condemned and the beginnings of families in which one
+// is. Their crashes are kept, also those that only the family has in common.
+func (f *findings) retained() map[Fingerprint]bool {
+	retained := map[Fingerprint]bool{}
+	for w, v := range f.wholes {
+		if v.Condemned {
+			retained[w] = true
+		}
 	}
-	for _, p := range s.Prefixes {
-		if f.beginnings[p].condemned {
-			return true
+	for p, b := range f.beginnings {
+		if !b.condemned {
+			continue
+		}
+		retained[p] = true
+		for _, root := range b.roots {
+			retained[root] = true
 		}
 	}
-	return false
+	return retained
 }
 
 // shared returns the longest of the beginnings of a request that is at the most crashes, or
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -205,7 +205,10 @@
 func (i *Isolator) recordLocked(b *brokenOff, now time.Time) {
 	delete(i.pending, b.instance)
 	i.own[b.instance] = b
-	r := row{Service: b.service, Instance: b.instance, Suspects: append([]suspect(nil), b.suspects...)}
+	if b.at.IsZero() {
+		b.at = now
+	}
+	r := row{Service: b.service, Instance: b.instance, At: b.at.UnixMilli(), Suspects: append([]suspect(nil), b.suspects...)}
 	i.putOwnLocked(rowName(b.instance, i.options.Name), r, now)
 }
 
@@ -235,7 +238,7 @@
 	i.outdated = false
 	e := newEvidence()
 	for _, r := range i.records {
-		e.add(r.row, r.seenAt)
+		e.add(r.row, r.happenedAt)
 	}
 	for _, b := range i.pending {
 		e.addPending(b, now)
--- a/internal/isolator/judge.go
+++ b/internal/isolator/judge.go
@@ -45,6 +45,10 @@
 // reports whether this daemon has.
 func judge(crashes []crash, pooled map[Fingerprint]bool, own func(Fingerprint) bool) findings {
 	j := newJudgment(crashes)
+	f := newFamilies(j.crashes, j.counts)
+	f.excuse(func(p Fingerprint) bool { return pooled[p] })
+	f.excuse(own)
+	j.explain(f.explainedOutages())
 	found := findings{wholes: map[Fingerprint]Verdict{}, known: map[Fingerprint]bool{}}
 	for {
 		guilty, ok := j.pickGuilty()
@@ -60,26 +64,30 @@
 			found.wholes[f] = Verdict{Crashes: n}
 		}
 	}
-	f := newFamilies(j.crashes, j.counts)
+	f = newFamilies(j.crashes, j.counts)
 	f.excuse(func(p Fingerprint) bool { return pooled[p] })
 	found.unpooled = f.excuse(own)
 	for p := range f.tallies {
 		found.known[p] = true
 	}
-	found.beginnings = f.judge()
+	found.beginnings = f.judge(j.explained)
 	return found
 }
 
 func newJudgment(crashes []crash) *judgment {
-	j := &judgment{crashes: batched(crashes)}
+	j := &judgment{crashes: batched(crashes), explained: map[int]bool{}}
 	j.count()
-	j.explained = map[int]bool{}
+	return j
+}
+
+// explain finds the outages that requests explain; byBeginnings are those that the beginnings of
+// requests help to explain.
+func (j *judgment) explain(byBeginnings map[int]bool) {
 	for _, c := range j.crashes {
 		known, seen := j.explained[c.batch]
-		j.explained[c.batch] = (known || !seen) && j.hasRepeater(c)
+		j.explained[c.batch] = byBeginnings[c.batch] || (known || !seen) && j.hasRepeater(c)
 	}
 	j.count()
-	return j
 }
 
 // hasRepeater reports whether a request of a crash was at minBatches or more.
--- a/internal/isolator/outage.go
+++ b/internal/isolator/outage.go
@@ -13,9 +13,9 @@
 	minOutage  = 4
 	// minBatches is the number of separate batches at which a request must have been that is
 	// condemned because of crashes that look like outages. Of requests that take as long as
-	// outages are apart some are at three in a row; five leave a margin, and a request that
-	// crashes replicas is condemned two crashes later than by crashes that look like no outage.
-	minBatches = 5
+	// outages are apart some are at three in a row; four leave a margin, and a request that
+	// crashes replicas is condemned one crash later than by crashes that look like no outage.
+	minBatches = 4
 )
 
 // batched numbers the batches of the crashes, and marks those that look like an outage: many
--- a/internal/isolator/row.go
+++ b/internal/isolator/row.go
@@ -16,6 +16,9 @@
 // each suspect that was served and one for each condemned beginning that was tried.
 const Table = "crashes/all"
 
+// maxArrival is the time in which a row comes to the other daemons while the store serves.
+const maxArrival = time.Second
+
 // row is the value of a row: the requests that one daemon had at a replica that crashed, or,
 // without an instance, a suspect that was served after it had been at the crashes of Excused.
 type row struct {
@@ -24,6 +27,9 @@
 	Suspects []suspect   `json:"suspects"`
 	Served   Fingerprint `json:"served"`
 	Excused  []string    `json:"excused"`
+	// At is when the daemon learned of the crash, in Unix milliseconds. Without it the crash
+	// was when another daemon learned of the row.
+	At int64 `json:"at,omitempty"`
 	// Prefixes are beginnings with which the daemon served requests; Served is the longest.
 	Prefixes prefixes `json:"prefixes,omitempty"`
 	// Trial names the daemon that last began to try a request with the condemned beginning
@@ -63,12 +69,23 @@
 // trialName returns the name of the row of the trials of a beginning.
 func trialName(f Fingerprint) string { return "trial-" + f.String() }
 
-// record is a row with the time at which this daemon learned of it, and its version if it
-// came from the store.
+// record is a row with the time at which this daemon learned of it, the time of the crash, and
+// its version if it came from the store.
 type record struct {
 	row
-	seenAt  time.Time
-	version uint64
+	seenAt, happenedAt time.Time
+	version            uint64
+}
+
+// happenedAt returns the time of a crash of which this daemon learns now. Several rows that come
+// late together, as after a start, must not look like one outage. The clocks of daemons differ,
+// so that the time of a row that comes at once is that of its arrival.
+func (r row) happenedAt(now time.Time) time.Time {
+	at := time.UnixMilli(r.At)
+	if r.At == 0 || now.Sub(at) <= maxArrival || now.Sub(at) > condemnedRetention {
+		return now
+	}
+	return at
 }
 
 // prefixCount returns the number of beginnings in the row.
--- a/internal/isolator/rows.go
+++ b/internal/isolator/rows.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/storer"
@@ -90,12 +91,15 @@
 		}
 		i.forgetLocked(oldest)
 	}
-	seenAt := now
+	seenAt, happenedAt := now, r.happenedAt(now)
+	if known {
+		happenedAt = old.happenedAt
+	}
 	if known && (r.Trial == "" || version == old.version) {
 		seenAt = old.seenAt
 	}
 	i.prefixes += r.prefixCount() - old.prefixCount()
-	i.records[name] = record{row: r, seenAt: seenAt, version: version}
+	i.records[name] = record{row: r, seenAt: seenAt, happenedAt: happenedAt, version: version}
 	i.boundPrefixesLocked()
 }
 
@@ -182,8 +186,9 @@
 	i.judgeLocked(now)
 	i.poolLocked(now)
 	i.expireTrialsLocked(now)
+	retained := i.found.retained()
 	for name, r := range i.records {
-		if now.Sub(r.seenAt) < i.retentionLocked(r.row)+rand.N(removalJitter) {
+		if age := now.Sub(r.seenAt); age < suspectRetention || age < r.retention(retained)+rand.N(removalJitter) {
 			continue
 		}
 		i.forgetLocked(name)
@@ -212,13 +217,13 @@
 	i.changedLocked()
 }
 
-// retentionLocked returns how long a row is kept.
-func (i *Isolator) retentionLocked(r row) time.Duration {
+// retention returns how long a row is kept.
+func (r row) retention(retained map[Fingerprint]bool) time.Duration {
 	if r.Trial != "" || len(r.Prefixes) > 0 {
 		return condemnedRetention
 	}
 	for _, s := range r.Suspects {
-		if i.found.condemns(&s) {
+		if retained[s.Whole] || slices.ContainsFunc(s.beginnings(), func(p Fingerprint) bool { return retained[p] }) {
 			return condemnedRetention
 		}
 	}
