isolator: [fix] a request condemned because of batches stays condemned

A crashing request among four or five that come again after 0.1 to 1 s reached 10 to 13 replicas, 4 to 6 of them late. Rows of other requests, which explained the batches, expire after a minute, and the request was no longer condemned although its own rows are kept for ten.

Change: a request that was condemned because of batches stays condemned while it is known to have been at three.

--- a/internal/isolator/export_test.go
+++ b/internal/isolator/export_test.go
@@ -27,7 +27,7 @@
 			e.pooled[f] = true
 		}
 	}
-	found := judge(e.list(), e.pooled, func(Fingerprint) bool { return false })
+	found := judge(e.list(), e.pooled, func(Fingerprint) bool { return false }, nil)
 	for f, b := range found.beginnings {
 		found.wholes[f] = Verdict{Crashes: b.crashes, Condemned: b.condemned}
 	}
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -244,7 +244,7 @@
 		e.addPending(b, now)
 	}
 	old := i.found
-	i.found = judge(e.list(), e.pooled, i.served.has)
+	i.found = judge(e.list(), e.pooled, i.served.has, old.wholes)
 	i.suspects.Store(int64(len(i.found.wholes)))
 	for f, v := range i.found.wholes {
 		if v.Condemned && !old.wholes[f].Condemned {
--- a/internal/isolator/judge.go
+++ b/internal/isolator/judge.go
@@ -35,6 +35,8 @@
 	counts  map[Fingerprint]*attendance
 	// explained are the outages in which each replica had a request that was at several.
 	explained map[int]bool
+	// before are the verdicts of the previous judgment.
+	before map[Fingerprint]Verdict
 }
 
 // judge returns the verdicts on all suspects of the crashes. Requests are condemned one after
@@ -43,8 +45,9 @@
 // separate batches explain all of it. Then the common beginnings of different requests are
 // judged in the same way; pooled are those that daemons have said to have served, and own
 // reports whether this daemon has.
-func judge(crashes []crash, pooled map[Fingerprint]bool, own func(Fingerprint) bool) findings {
+func judge(crashes []crash, pooled map[Fingerprint]bool, own func(Fingerprint) bool, before map[Fingerprint]Verdict) findings {
 	j := newJudgment(crashes)
+	j.before = before
 	f := newFamilies(j.crashes, j.counts)
 	f.excuse(func(p Fingerprint) bool { return pooled[p] })
 	f.excuse(own)
@@ -121,7 +124,7 @@
 	var best Fingerprint
 	found := false
 	for f, a := range j.counts {
-		if !a.isEnough() || !a.isAmbiguous() && j.explainedBest(f) < minExplainedBest {
+		if !j.isStanding(f, a) && (!a.isEnough() || !a.isAmbiguous() && j.explainedBest(f) < minExplainedBest) {
 			continue
 		}
 		if !found || a.counted() > j.counts[best].counted() || a.counted() == j.counts[best].counted() && bytes.Compare(f[:], best[:]) < 0 {
@@ -131,6 +134,12 @@
 	return best, found
 }
 
+// isStanding reports whether a request stays condemned that was condemned because of batches.
+// Rows of other requests, which explained these batches, expire earlier than its own.
+func (j *judgment) isStanding(f Fingerprint, a *attendance) bool {
+	return j.before[f].Condemned && a.single < maxCrashes && a.batches() >= maxCrashes
+}
+
 // explainedBest returns the number of batches that f explains better than any other request
 // there: no other was at as many crashes, so that f is not one that was always beside it.
 func (j *judgment) explainedBest(f Fingerprint) int {
