isolator,forwarder: [fix] equal requests wait until a broken connection is told from a crash

Callers saw, once suspects are held on small services: a stream that is resumed gets 503 for seconds if an equal request was broken off a moment ago, though the replica lives. The request that was broken off itself waits until that is known (250 ms at most); equal ones did not.

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -79,11 +79,11 @@
 	}
 }
 
-// awaitConfirmation waits for a while if the request was broken off, so that it is held back
-// only if the replica has ended and not merely its connection. It returns false if the request
-// has waited for long enough.
+// awaitConfirmation waits for a while if the request or an equal one was broken off, so that it
+// is held back only if the replica has ended and not merely its connection. It returns false if
+// the request has waited for long enough.
 func (f *Forwarder) awaitConfirmation(ctx context.Context, j *job) bool {
-	if j.possibleRuns == 0 || j.heldFor >= confirmWait {
+	if j.heldFor >= confirmWait || j.possibleRuns == 0 && !f.isolator.Confirming(j.mark) {
 		return false
 	}
 	j.heldFor += confirmPoll
--- a/internal/isolator/broken.go
+++ b/internal/isolator/broken.go
@@ -51,3 +51,16 @@
 	delete(i.pending, b.instance)
 	i.changedLocked()
 }
+
+// Confirming reports whether it is not known yet that a replica which broke off a request has
+// ended.
+func (i *Isolator) Confirming(m Mark) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, b := range i.pending {
+		if slices.ContainsFunc(b.suspects, func(s suspect) bool { return s.Whole == m.Whole }) {
+			return true
+		}
+	}
+	return false
+}
