relayer: [fix] a peer that was cut off before does not keep replicas whose rows are gone

Change: more peers must have read the registry throughout than lost it, in place of none that lost it. An outage of the store is seen by all peers. Two cases are added to TestTheDecisionNeedsAContactThroughout; those it had hold as before.

--- a/internal/relayer/contact_test.go
+++ b/internal/relayer/contact_test.go
@@ -191,6 +191,8 @@
 	is.True(!confirms(20, short))
 	is.True(!confirms(20, long, lost))
 	is.True(!confirms(20, back, long))
+	is.True(confirms(20, long, back, long)) // One was cut off itself before.
+	is.True(!confirms(20, long, back, long, lost))
 	is.True(!confirms(19, long))
 	is.True(!confirms(31, long)) // Its contact began after this daemon's ended.
 }
--- a/internal/relayer/verdict.go
+++ b/internal/relayer/verdict.go
@@ -22,24 +22,24 @@
 }
 
 // confirmsRegistry decides whether the rows of the registry were correct while this daemon
-// could not read them, from begin to end: at least one peer read them throughout, and none
-// lost them meanwhile. A peer that lost them shows an outage of the store, of the registry's
-// partition, or for some of the daemons, in which replicas may have been unable to renew their
-// rows. A peer that was started or frozen meanwhile can't tell. The function has no clock or
-// socket.
+// could not read them, from begin to end: more peers read them throughout than lost them
+// meanwhile. An outage of the store, or of the registry's partition, is seen by all peers. One
+// that lost them may have been cut off itself a moment before; if as many did as not, the store
+// may have refused replicas as well, which could not renew their rows then. A peer that was
+// started or frozen meanwhile can't tell. The function has no clock or socket.
 func confirmsRegistry(answers []contactAnswer, begin, end time.Time) bool {
-	throughout := false
+	throughout, lost := 0, 0
 	for _, a := range answers {
 		switch {
 		case a.askedAt.Before(end):
 			// It says nothing about the end of the time.
 		case a.reply.Contact > 0 && !a.since().After(begin):
-			throughout = true
+			throughout++
 		case a.reply.Lost:
-			return false
+			lost++
 		}
 	}
-	return throughout && !end.Before(begin)
+	return throughout > lost && !end.Before(begin)
 }
 
 // since returns the latest time at which the contact may have begun.
