relayer: [fix] peers of other zones decide if those of the zone contradict each other

The grace period stayed, though the store was up and all daemons of other zones had read it.

Change: contradicting answers lead to the question in other zones, as no answer does. After an outage for all none read it throughout, so nobody asks further. TestPeersOfOtherZonesDecideBetweenTwo failed before.

--- a/internal/relayer/confirmation.go
+++ b/internal/relayer/confirmation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/assigner"
@@ -26,6 +27,8 @@
 type confirmation struct {
 	relayer *Relayer
 	pool    *messenger.Pool
+	// begin and end are those of the time in question.
+	begin, end time.Time
 	// answers receives an answer of each peer that was asked, nil from one that gave none.
 	answers chan *contactAnswer
 	others  chan []assigner.Peer
@@ -41,7 +44,7 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	c := &confirmation{
-		relayer: x, pool: messenger.NewPool(x.options.Dial, *secret), answers: make(chan *contactAnswer, 2*maxConfirming), others: make(chan []assigner.Peer, 1),
+		relayer: x, pool: messenger.NewPool(x.options.Dial, *secret), begin: begin, end: end, answers: make(chan *contactAnswer, 2*maxConfirming), others: make(chan []assigner.Peer, 1),
 	}
 	defer c.pool.Close()
 	list := c.run(ctx)
@@ -50,16 +53,17 @@
 	return confirmed
 }
 
-// run returns the answers of peers of the zone, or of other zones as well if they don't tell.
+// run returns the answers of peers of the zone, or of other zones as well if they don't tell or
+// contradict each other.
 func (c *confirmation) run(ctx context.Context) []contactAnswer {
 	var list []contactAnswer
 	pending := c.ask(ctx, c.relayer.Others())
 	further, asked := time.After(elsewhereDelay), false
 	for {
-		if pending == 0 && !asked && !telling(list) {
+		if pending == 0 && !asked && !c.decided(list) {
 			asked = true
 			go c.findOthers(ctx)
-		} else if pending == 0 && telling(list) {
+		} else if pending == 0 && c.decided(list) {
 			return list
 		}
 		select {
@@ -69,7 +73,7 @@
 				list = append(list, *a)
 			}
 		case <-further:
-			if !asked && !telling(list) {
+			if !asked && !c.decided(list) {
 				asked = true
 				go c.findOthers(ctx)
 			}
@@ -83,14 +87,13 @@
 	}
 }
 
-// telling reports whether one of the answers is more than that the peer can't tell.
-func telling(list []contactAnswer) bool {
-	for _, a := range list {
-		if a.reply != (ContactReply{}) {
-			return true
-		}
+// decided reports whether one of the answers is more than that the peer can't tell, and the
+// answers don't contradict each other.
+func (c *confirmation) decided(list []contactAnswer) bool {
+	if isContested(list, c.begin, c.end) {
+		return false
 	}
-	return false
+	return slices.ContainsFunc(list, func(a contactAnswer) bool { return a.reply != (ContactReply{}) })
 }
 
 // findOthers finds the daemons of other zones, which may take a call to the store.
--- a/internal/relayer/contact_test.go
+++ b/internal/relayer/contact_test.go
@@ -145,6 +145,37 @@
 	})
 }
 
+// One peer of the zone was cut off itself shortly before, and its answer against one other kept
+// the grace period, although daemons of other zones had read the registry throughout.
+func TestPeersOfOtherZonesDecideBetweenTwo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newZone(t)
+		defer z.stop()
+		ctx, cancel := context.WithCancel(z.ctx)
+		defer cancel()
+		secret, err := z.store.Get(ctx, "relay/shared/secret")
+		is.NoErr(err)
+		s := messenger.NewServer(string(secret.Value))
+		is.NoErr(s.Register("Relay", steadyRelay{}))
+		l, err := z.network.listen("far")
+		is.NoErr(err)
+		s.Start(z.ctx, l)
+		start := time.Now()
+		go (&reader{relayer: z.relayers[1]}).run(ctx, start)
+		go (&reader{relayer: z.relayers[2], from: 4 * time.Second, until: 11 * time.Second, lost: true}).run(ctx, start)
+		time.Sleep(17*time.Second + readPeriod + time.Millisecond)
+		asked := time.Now()
+		is.True(!z.relayers[0].ConfirmRegistry(ctx, start.Add(10*time.Second), asked)) // Nobody else knows.
+		_, err = z.store.Commit(ctx, write("members-y/peers/far", `{"address":"far"}`))
+		is.NoErr(err)
+		time.Sleep(30 * time.Second) // The list of the other zones is read again.
+		z.relayers[0].Elsewhere(ctx)
+		time.Sleep(time.Second)
+		is.True(z.relayers[0].ConfirmRegistry(ctx, start.Add(10*time.Second), time.Now()))
+	})
+}
+
 // What a peer reads through another one counted as its own contact, or a contact that ended
 // long ago as one that lasts.
 func TestContact(t *testing.T) {
--- a/internal/relayer/verdict.go
+++ b/internal/relayer/verdict.go
@@ -28,7 +28,19 @@
 // may have refused replicas as well, which could not renew their rows then. A peer that was
 // started or frozen meanwhile can't tell. The function has no clock or socket.
 func confirmsRegistry(answers []contactAnswer, begin, end time.Time) bool {
-	throughout, lost := 0, 0
+	throughout, lost := tally(answers, begin, end)
+	return throughout > lost && !end.Before(begin)
+}
+
+// isContested reports whether some peers read the registry throughout and as many lost it, so
+// that further peers have to tell. After an outage for all, none did.
+func isContested(answers []contactAnswer, begin, end time.Time) bool {
+	throughout, lost := tally(answers, begin, end)
+	return throughout > 0 && throughout <= lost
+}
+
+// tally returns how many peers read the registry throughout, and how many lost it.
+func tally(answers []contactAnswer, begin, end time.Time) (throughout, lost int) {
 	for _, a := range answers {
 		switch {
 		case a.askedAt.Before(end):
@@ -39,7 +51,7 @@
 			lost++
 		}
 	}
-	return throughout > lost && !end.Before(begin)
+	return throughout, lost
 }
 
 // since returns the latest time at which the contact may have begun.
