--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -1,7 +1,6 @@
 package tracker
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -94,112 +93,6 @@
 	return leaving || e != nil && e.replica.instance == r.instance && e.replica.Draining
 }
 
-// SawEnd records that the process of an instance was seen to end: a connection broke off, or
-// a dial was refused. The instance is unconfirmed until it has written a further row. SawEnd
-// returns false if the end was known, announced, or that of an instance that is not known.
-func (t *Tracker) SawEnd(instance string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.find(instance)
-	if _, leaving := t.leaving[instance]; e == nil || leaving || e.replica.Draining {
-		return false
-	}
-	return e.confirmation.sawEnd(now)
-}
-
-// SawEndSince reports whether the process of an instance was seen to end after a time, and the
-// instance is not confirmed since.
-func (t *Tracker) SawEndSince(r *Replica, since time.Time) bool {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	e := t.entryOf(r)
-	return e != nil && e.confirmation.endedAt.After(since)
-}
-
-// Unconfirmed returns the usable instances of a service whose process was seen to end.
-func (t *Tracker) Unconfirmed(service string) []string {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var list []string
-	for _, r := range t.usable[service] {
-		if e := t.entries[r.ID]; e != nil && !e.confirmation.endedAt.IsZero() {
-			list = append(list, r.instance)
-		}
-	}
-	return list
-}
-
-// Owns reports whether a connection to an instance's address, opened at a time, is known to
-// lead to the process of the instance. It is not if the process may have been replaced by
-// another one whose row has not been read yet.
-func (t *Tracker) Owns(r *Replica, opened time.Time) bool {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	e := t.entryOf(r)
-	return e != nil && e.confirmation.owns(opened)
-}
-
-// Outlived reports whether an instance is certain to have lived after a connection to its
-// address was opened: it wrote a row after that, or named itself on that connection or a later
-// one. No other process can have accepted the connection then, even if rows are written late.
-func (t *Tracker) Outlived(r *Replica, opened time.Time) bool {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	e := t.entryOf(r)
-	return e != nil && e.confirmation.outlived(opened)
-}
-
-// ReadCompleted records that the rows are those of a read of the registry that began at a time,
-// once Replace or Update has applied them. It returns the replicas that this confirms.
-func (t *Tracker) ReadCompleted(began time.Time) []Change {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var changes []Change
-	for _, e := range t.entries {
-		if e.removeAt.IsZero() && e.confirmation.read(began, e.replica.Sequence) {
-			changes = append(changes, Change{e.replica, "confirmed"})
-		}
-	}
-	t.announceConfirmed()
-	return changes
-}
-
-// Identified records that an instance's process named its own start time on a connection that
-// was opened at a time. It lived at that time.
-func (t *Tracker) Identified(r *Replica, opened time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.entryOf(r); e != nil {
-		e.confirmation.identified(opened)
-		t.announceConfirmed()
-	}
-}
-
-// AwaitOwned waits until Owns is true, the instance is replaced or the context ends, and
-// returns Owns.
-func (t *Tracker) AwaitOwned(ctx context.Context, r *Replica, opened time.Time) bool {
-	for {
-		t.mu.RLock()
-		e, next := t.entryOf(r), t.confirmed
-		owned := e != nil && e.confirmation.owns(opened)
-		t.mu.RUnlock()
-		if owned || e == nil {
-			return owned
-		}
-		select {
-		case <-next:
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
-// announceConfirmed wakes those that wait in AwaitOwned. The caller holds the lock.
-func (t *Tracker) announceConfirmed() {
-	close(t.confirmed)
-	t.confirmed = make(chan struct{})
-}
-
 // find returns the entry of an instance, or nil. The caller holds the lock.
 func (t *Tracker) find(instance string) *entry {
 	for _, e := range t.entries {
