isolator: [fix] requests served before a crash do not prove a beginning sound

Its requests share a beginning that was served until they turned deadly, and any request of the last ten minutes was taken as proof that a beginning is sound.

Ruled out: the time to let other daemons object (1.5 s) alone; requests that arrived before, as no evidence at all (TestACommonBeginningRefusesNoOtherRequest).

Change: only requests that arrived after the first crash prove a beginning sound, others raise the number of crashes from three to six; a beginning is condemned without delay; crashes of a condemned request count for what it shares with the next one; beginnings that this daemon served within 3 s are not recorded, and those in common tell several crashes from an outage; the shortest known beginnings are recorded too, so that a request that grows fast stays one family.

--- a/internal/forwarder/crash.go
+++ b/internal/forwarder/crash.go
@@ -73,7 +73,7 @@
 func (f *Forwarder) recordEvidence(j *job, c *selector.Choice, res result) {
 	switch {
 	case res == answered:
-		f.isolator.Served(j.mark)
+		f.isolator.Served(j.mark, j.request.Arrived)
 	case (res == ambiguous || res == truncated) && isBrokenOff(j.cause) && !c.IsEnding():
 		f.isolator.BrokeOff(j.service.Name, c.Instance, c.Replica.Address, j.mark)
 	}
--- a/internal/isolator/beginning.go
+++ b/internal/isolator/beginning.go
@@ -3,10 +3,6 @@
 import "time"
 
 const (
-	// pooledAfter is how long after the second crash of several bodies with a common beginning
-	// this beginning is condemned at the earliest. By then the daemons that served requests
-	// with it have said so.
-	pooledAfter = 1500 * time.Millisecond
 	// firstTrialAfter is how long after the last crash of a condemned beginning another request
 	// with it is tried. Each crash beyond maxCrashes multiplies the time by trialGrowth, up to
 	// maxTrialAfter, so that a request that comes with more content each time crashes three
@@ -24,14 +20,9 @@
 	crashes, family int
 	// roots are the shortest beginnings that were not served.
 	roots []Fingerprint
-	// second and last are the times of the second and of the last crash.
-	second, last time.Time
-	condemned    bool
-}
-
-// holds reports whether the beginning is condemned at a time.
-func (b beginning) holds(now time.Time) bool {
-	return b.condemned && !now.Before(b.second.Add(pooledAfter))
+	// last is the time of the last crash.
+	last      time.Time
+	condemned bool
 }
 
 // trialAfter returns the time after a crash or a trial until the next trial.
--- a/internal/isolator/beginnings_test.go
+++ b/internal/isolator/beginnings_test.go
@@ -27,7 +27,7 @@
 		prompt := strings.Repeat("the same prompt ", 20)
 		turn := func(name string) isolator.Mark { return isolator.NewMark([]byte(prompt+name), "/path") }
 		for n := range 20 {
-			daemons[0].Served(turn(fmt.Sprint("sound turn ", n)))
+			daemons[0].Served(turn(fmt.Sprint("sound turn ", n)), time.Now())
 		}
 		time.Sleep(2 * time.Minute)
 		for n, i := range daemons {
@@ -76,7 +76,7 @@
 					sound := (&conversation{prompt, fmt.Sprint("another question ", n)}).mark()
 					is.Equal(daemons[n%3].Check(sound).Condemned, false)
 					if send(daemons[n%3], sound) {
-						daemons[n%3].Served(sound)
+						daemons[n%3].Served(sound, time.Now())
 					} else {
 						is.True(row.prompt == 0) // Nothing else was served with the beginning.
 					}
@@ -136,7 +136,7 @@
 		}
 		is.Equal(len(tried), 1)
 		is.True(time.Since(begun) < 6*time.Second)
-		daemons[tried[0]].Served((&conversation{prompt, fmt.Sprint("sound ", tried[0])}).mark())
+		daemons[tried[0]].Served((&conversation{prompt, fmt.Sprint("sound ", tried[0])}).mark(), time.Now())
 		time.Sleep(knownWithin)
 		for _, i := range append(daemons, d.start()) {
 			is.Equal(i.Check((&conversation{prompt, "sound"}).mark()), isolator.Verdict{})
@@ -202,7 +202,7 @@
 		prompt := strings.Repeat("the same prompt ", 20)
 		serve := func() {
 			for n := range 200 {
-				daemons[n%20].Served((&conversation{prompt, fmt.Sprint("sound ", n)}).mark())
+				daemons[n%20].Served((&conversation{prompt, fmt.Sprint("sound ", n)}).mark(), time.Now())
 				time.Sleep(10 * time.Millisecond)
 			}
 		}
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -5,14 +5,15 @@
 // evidence is the rows of all daemons, joined by the instance that crashed.
 type evidence struct {
 	crashes map[string]*crash
-	// pooled are the beginnings with which daemons have said to have served requests.
-	pooled map[Fingerprint]bool
+	// served are the beginnings with which daemons have said to have served requests: true if
+	// one of these arrived after the first crash of a suspect with the beginning.
+	served map[Fingerprint]bool
 	// excused are the instances at whose crashes a suspect was before it was served.
 	excused map[Fingerprint][]string
 }
 
 func newEvidence() *evidence {
-	return &evidence{crashes: map[string]*crash{}, pooled: map[Fingerprint]bool{}, excused: map[Fingerprint][]string{}}
+	return &evidence{crashes: map[string]*crash{}, served: map[Fingerprint]bool{}, excused: map[Fingerprint][]string{}}
 }
 
 // addPending adds requests that broke off at an instance whose end is not confirmed yet.
@@ -29,9 +30,9 @@
 		return
 	case r.Instance == "":
 		for _, f := range r.Prefixes {
-			e.pooled[f] = true
+			e.served[f] = e.served[f] || !r.Earlier
 		}
-		e.pooled[r.Served] = true // The previous build names the start of a body here.
+		e.served[r.Served] = e.served[r.Served] || !r.Earlier // The previous build names the start of a body here.
 		e.excused[r.Served] = append(e.excused[r.Served], r.Excused...)
 		return
 	}
--- a/internal/isolator/export_test.go
+++ b/internal/isolator/export_test.go
@@ -24,10 +24,10 @@
 	}
 	for _, m := range served {
 		for _, f := range m.beginnings() {
-			e.pooled[f] = true
+			e.served[f] = true
 		}
 	}
-	found := judge(e.list(), e.pooled, func(Fingerprint) bool { return false }, nil)
+	found := judge(e.list(), e.served, func(Fingerprint) time.Time { return time.Time{} }, nil)
 	for f, b := range found.beginnings {
 		found.wholes[f] = Verdict{Crashes: b.crashes, Condemned: b.condemned}
 	}
--- a/internal/isolator/family.go
+++ b/internal/isolator/family.go
@@ -19,9 +19,13 @@
 	// wholes are the counts of whole requests, and sizes the numbers of crashes by batch.
 	wholes map[Fingerprint]*attendance
 	sizes  map[int]int
-	// harmless are the beginnings with which requests were served.
-	harmless map[Fingerprint]bool
-	tallies  map[Fingerprint]*tally
+	// harmless are the beginnings with which requests were served that arrived after the first
+	// crash, and earlier those with which any were.
+	harmless, earlier map[Fingerprint]bool
+	// base is the number of crashes that a condemned whole request with the beginning explains.
+	// Another body with that beginning at a further crash shows what they have in common.
+	base    map[Fingerprint]int
+	tallies map[Fingerprint]*tally
 }
 
 // scene is a crash with its suspects' beginnings.
@@ -43,6 +47,8 @@
 	// that are confirmed.
 	times     []time.Time
 	confirmed int
+	// first is the time of the first crash.
+	first time.Time
 	// body is one of the bodies with the beginning, and several is set if there are others.
 	body    Fingerprint
 	several bool
@@ -50,7 +56,7 @@
 
 // newFamilies returns the families of crashes. wholes are the counts of whole requests.
 func newFamilies(crashes []crash, wholes map[Fingerprint]*attendance) *families {
-	f := &families{wholes: wholes, harmless: map[Fingerprint]bool{}, sizes: map[int]int{}}
+	f := &families{wholes: wholes, harmless: map[Fingerprint]bool{}, earlier: map[Fingerprint]bool{}, base: map[Fingerprint]int{}, sizes: map[int]int{}}
 	crashes = slices.Clone(crashes)
 	for _, c := range crashes {
 		f.sizes[c.batch]++
@@ -82,10 +88,13 @@
 			for _, p := range s.all {
 				t := f.tallies[p]
 				if t == nil {
-					t = &tally{body: s.Whole}
+					t = &tally{body: s.Whole, first: c.at}
 					f.tallies[p] = t
 				}
 				t.several = t.several || t.body != s.Whole
+				if c.at.Before(t.first) {
+					t.first = c.at
+				}
 				before := t.batches()
 				t.add(&c.crash, explained[c.batch])
 				if t.batches() > before {
@@ -135,7 +144,7 @@
 // with it was served.
 func (f *families) isShared(p Fingerprint) bool {
 	t := f.tallies[p]
-	return t != nil && t.several && len(t.times) > 1 && !f.harmless[p]
+	return t != nil && (t.several && len(t.times) > 1 || f.base[p] > 0) && !f.harmless[p]
 }
 
 // crashesOf returns the number of batches that count against a beginning, zero for one that
@@ -144,34 +153,46 @@
 	if !f.isShared(p) {
 		return 0
 	}
-	return f.tallies[p].counted()
+	return f.tallies[p].counted() + f.base[p]
+}
+
+// isEnough reports whether the crashes condemn a beginning if no other explains them as well.
+func (f *families) isEnough(p Fingerprint) bool {
+	t := f.tallies[p]
+	return t.isEnough() || f.base[p] > 0 && t.single > 0 && t.single+f.base[p] >= maxCrashes
 }
 
-// excuse records the beginnings with which requests were served, and those that are shorter. It
-// returns the ones among them that several bodies at confirmed crashes have and that were not excused.
-func (f *families) excuse(served func(Fingerprint) bool) []Fingerprint {
-	found := map[Fingerprint]bool{}
+// excuse records the beginnings with which requests were served, and those that are shorter:
+// as harmless if one of these requests arrived after the first crash with the beginning, and as
+// served earlier otherwise. It returns the ones of both kinds that several bodies at confirmed
+// crashes have and that only this daemon knows of.
+func (f *families) excuse(said map[Fingerprint]bool, own func(Fingerprint) time.Time) (harmless, earlier []Fingerprint) {
 	for _, c := range f.crashes {
 		for _, s := range c.members {
-			excused := false
+			isHarmless, isEarlier := false, false
 			for _, p := range slices.Backward(s.all) {
-				if excused = excused || served(p); excused && !f.harmless[p] {
-					found[p] = true
-				}
+				at := own(p)
+				after, known := said[p]
+				isHarmless = isHarmless || after || at.After(f.tallies[p].first)
+				isEarlier = isEarlier || known || !at.IsZero()
+				f.harmless[p] = f.harmless[p] || isHarmless
+				f.earlier[p] = f.earlier[p] || isEarlier
 			}
 		}
 	}
-	var list []Fingerprint
-	for p := range found {
-		if f.isShared(p) && f.tallies[p].confirmed > 1 {
-			list = append(list, p)
+	for p, t := range f.tallies {
+		after, known := said[p]
+		switch {
+		case !t.several || t.confirmed < 2:
+		case f.harmless[p] && !after:
+			harmless = append(harmless, p)
+		case f.earlier[p] && !known:
+			earlier = append(earlier, p)
 		}
 	}
-	for p := range found {
-		f.harmless[p] = true
-	}
-	slices.SortFunc(list, longerFirst)
-	return list
+	slices.SortFunc(harmless, longerFirst)
+	slices.SortFunc(earlier, longerFirst)
+	return harmless, earlier
 }
 
 // longerFirst orders beginnings by length, in the same way in all daemons.
@@ -194,7 +215,7 @@
 		f.count(explained)
 	}
 	for p := range f.tallies {
-		if _, known := found[p]; !known && f.isShared(p) {
+		if _, known := found[p]; !known && f.isShared(p) && !f.earlier[p] {
 			found[p] = f.describe(p, all, false)
 		}
 	}
@@ -206,7 +227,7 @@
 func (f *families) describe(p Fingerprint, all map[Fingerprint]*tally, condemned bool) beginning {
 	t := f.tallies[p]
 	times := t.times
-	b := beginning{crashes: t.crashes(), family: t.batches(), second: times[1], last: times[len(times)-1], condemned: condemned}
+	b := beginning{crashes: t.crashes() + f.base[p], family: t.batches() + f.base[p], last: times[len(times)-1], condemned: condemned}
 	for _, c := range f.crashes {
 		for _, s := range c.members {
 			if !s.has(p) {
@@ -214,7 +235,7 @@
 			}
 			for _, shortest := range s.all {
 				if !f.harmless[shortest] {
-					b.family = max(b.family, all[shortest].batches())
+					b.family = max(b.family, all[shortest].batches()+f.base[shortest])
 					b.roots = append(b.roots, shortest)
 					break
 				}
@@ -228,13 +249,15 @@
 func (f *families) pickGuilty(explained map[int]bool) (Fingerprint, bool) {
 	var candidates []Fingerprint
 	for p, t := range f.tallies {
-		if t.isEnough() && f.isShared(p) {
+		// Requests that were served earlier show that not all with the beginning are the
+		// cause, unless the crashes go on and no other is served any more.
+		if f.isEnough(p) && f.isShared(p) && (!f.earlier[p] || t.counted()+f.base[p] >= maxAmbiguous) {
 			candidates = append(candidates, p)
 		}
 	}
 	slices.SortFunc(candidates, longerFirst)
 	for _, p := range candidates {
-		if f.tallies[p].isAmbiguous() || f.explainedBest(p, explained) >= minExplainedBest {
+		if f.tallies[p].isAmbiguous() || f.explainedBest(p, explained)+f.base[p] >= minExplainedBest {
 			return p, true
 		}
 	}
--- a/internal/isolator/findings.go
+++ b/internal/isolator/findings.go
@@ -6,10 +6,11 @@
 	// that several bodies have in common.
 	wholes     map[Fingerprint]Verdict
 	beginnings map[Fingerprint]beginning
-	// unpooled are the beginnings that several bodies at crashes have in common, with which
-	// this daemon served a request and no daemon has said so yet.
-	unpooled []Fingerprint
-	// known are the beginnings of all suspects.
+	// unsaid are the beginnings that several bodies at crashes have in common, with which this
+	// daemon served a request that arrived after the first of the crashes and no daemon has said
+	// so yet, and unsaidEarlier those with which it served one before.
+	unsaid, unsaidEarlier []Fingerprint
+	// known are the beginnings of all suspects with which no request was served since.
 	known map[Fingerprint]bool
 }
 
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -23,6 +23,10 @@
 	// minCleared is the number of crashes from which on it is recorded that a request was
 	// served. Fewer condemn nobody.
 	minCleared = 2
+	// commonFor is how long after a request with a beginning was served the beginning is not
+	// recorded for a crash. What most requests begin with is served by each daemon within that
+	// time, and would make an outage look like the crashes of one request.
+	commonFor = 3 * time.Second
 	// judgeShare is the ratio of the time between two judgments to that of one, so that a storm
 	// of crashes with many suspects does not occupy the daemon.
 	judgeShare = 10
@@ -129,17 +133,18 @@
 	return suspects, condemned
 }
 
-// Served records that a request got a complete response. If it was at several crashes, all
-// daemons learn that it is not their cause, and later crashes count anew. If it shares a
-// beginning with suspects, all daemons learn that this is not the cause.
-func (i *Isolator) Served(m Mark) {
+// Served records that a request, which arrived at a time, got a complete response. If it was at
+// several crashes, all daemons learn that it is not their cause, and later crashes count anew. If
+// it shares a beginning with suspects and arrived after their first crash, all daemons learn that
+// this is not the cause.
+func (i *Isolator) Served(m Mark, arrived time.Time) {
 	now := time.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.recent.add(m.Whole, now)
 	shares := false
 	for _, f := range m.beginnings() {
-		i.served.add(f, now)
+		i.served.add(f, arrived, now)
 		_, suspect := i.found.beginnings[f]
 		shares = shares || suspect
 		delete(i.trials, f)
@@ -150,7 +155,7 @@
 	if shares {
 		i.changedLocked()
 		i.judgeLocked(now)
-		i.poolLocked(now)
+		i.sayServedLocked(now)
 	}
 }
 
@@ -174,9 +179,7 @@
 	if i.recent.has(m.Whole, now) {
 		return
 	}
-	if i.served.has(m.Start) {
-		m.Start = m.Whole // The previous build knows no other sign that it is harmless.
-	}
+	m = m.without(func(f Fingerprint) bool { return now.Sub(i.served.last(f)) < commonFor })
 	if b := i.own[instance]; b != nil {
 		if b.add(m) {
 			i.recordLocked(b, now)
@@ -244,7 +247,7 @@
 		e.addPending(b, now)
 	}
 	old := i.found
-	i.found = judge(e.list(), e.pooled, i.served.has, old.wholes)
+	i.found = judge(e.list(), e.served, i.served.last, old.wholes)
 	i.suspects.Store(int64(len(i.found.wholes)))
 	for f, v := range i.found.wholes {
 		if v.Condemned && !old.wholes[f].Condemned {
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -133,7 +133,7 @@
 		d := newDeployment()
 		defer d.stop()
 		first, second := d.start(), d.start()
-		first.Served(mark("popular"))
+		first.Served(mark("popular"), time.Now())
 		for n := range 8 {
 			breakOff(first, fmt.Sprint("r", n), "popular")
 		}
@@ -143,7 +143,7 @@
 		breakOff(second, "y", "unlucky")
 		time.Sleep(time.Second)
 		is.Equal(first.Check(mark("unlucky")).Crashes, 2)
-		second.Served(mark("unlucky"))
+		second.Served(mark("unlucky"), time.Now())
 		time.Sleep(time.Second)
 		is.Equal(first.Check(mark("unlucky")), isolator.Verdict{})
 	})
@@ -161,7 +161,7 @@
 			breakOff(first, fmt.Sprint("early ", n), "request")
 		}
 		time.Sleep(time.Second)
-		second.Served(mark("request"))
+		second.Served(mark("request"), time.Now())
 		time.Sleep(time.Second)
 		is.Equal(first.Check(mark("request")), isolator.Verdict{})
 		for n := range 3 {
@@ -208,7 +208,7 @@
 		for n := range 100 {
 			for m := range 1000 {
 				i.BrokeOff("engine", fmt.Sprint("r", n), "r", mark(fmt.Sprint(n, "/", m)))
-				i.Served(mark(fmt.Sprint("served ", n, "/", m)))
+				i.Served(mark(fmt.Sprint("served ", n, "/", m)), time.Now())
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
--- a/internal/isolator/judge.go
+++ b/internal/isolator/judge.go
@@ -43,22 +43,25 @@
 // the other, the one with the most crashes first, and the crashes that it explains count
 // against no other. Crashes that look like an outage count only if requests that were at many
 // separate batches explain all of it. Then the common beginnings of different requests are
-// judged in the same way; pooled are those that daemons have said to have served, and own
-// reports whether this daemon has.
-func judge(crashes []crash, pooled map[Fingerprint]bool, own func(Fingerprint) bool, before map[Fingerprint]Verdict) findings {
+// judged in the same way; said are those that daemons have said to have served, true if also
+// after the first crash, and own returns when a request arrived that this daemon served last.
+func judge(crashes []crash, said map[Fingerprint]bool, own func(Fingerprint) time.Time, before map[Fingerprint]Verdict) findings {
 	j := newJudgment(crashes)
 	j.before = before
 	f := newFamilies(j.crashes, j.counts)
-	f.excuse(func(p Fingerprint) bool { return pooled[p] })
-	f.excuse(own)
+	f.excuse(said, own)
 	j.explain(f.explainedOutages())
 	found := findings{wholes: map[Fingerprint]Verdict{}, known: map[Fingerprint]bool{}}
+	base := map[Fingerprint]int{}
 	for {
 		guilty, ok := j.pickGuilty()
 		if !ok {
 			break
 		}
 		found.wholes[guilty] = Verdict{Crashes: j.counts[guilty].batches(), Condemned: true}
+		for _, p := range j.beginningsOf(guilty) {
+			base[p] += j.counts[guilty].counted()
+		}
 		j.removeExplained(guilty)
 		j.count()
 	}
@@ -68,10 +71,10 @@
 		}
 	}
 	f = newFamilies(j.crashes, j.counts)
-	f.excuse(func(p Fingerprint) bool { return pooled[p] })
-	found.unpooled = f.excuse(own)
+	f.base = base
+	found.unsaid, found.unsaidEarlier = f.excuse(said, own)
 	for p := range f.tallies {
-		found.known[p] = true
+		found.known[p] = !f.harmless[p]
 	}
 	found.beginnings = f.judge(j.explained)
 	return found
@@ -168,6 +171,16 @@
 	return false
 }
 
+// beginningsOf returns the recorded beginnings of a request.
+func (j *judgment) beginningsOf(f Fingerprint) []Fingerprint {
+	for _, c := range j.crashes {
+		if s := c.suspects[f]; s != nil {
+			return s.beginnings()
+		}
+	}
+	return nil
+}
+
 // removeExplained removes the crashes that a request explains.
 func (j *judgment) removeExplained(f Fingerprint) {
 	var left []crash
--- a/internal/isolator/mark.go
+++ b/internal/isolator/mark.go
@@ -1,5 +1,7 @@
 package isolator
 
+import "slices"
+
 // startBytes is the length of the start of a body that identifies a request.
 const startBytes = 256
 
@@ -43,3 +45,12 @@
 
 // String returns both fingerprints in hexadecimal.
 func (m Mark) String() string { return m.Whole.String() + "/" + m.Start.String() }
+
+// without returns the mark without the beginnings for which a condition holds.
+func (m Mark) without(condition func(f Fingerprint) bool) Mark {
+	if m.Start != m.Whole && condition(m.Start) {
+		m.Start = m.Whole
+	}
+	m.prefixes = slices.DeleteFunc(slices.Clone(m.prefixes), condition)
+	return m
+}
--- a/internal/isolator/outage.go
+++ b/internal/isolator/outage.go
@@ -19,7 +19,8 @@
 )
 
 // batched numbers the batches of the crashes, and marks those that look like an outage: many
-// replicas of a service that end together and had no request in common. Any other crash is a
+// replicas of a service that end together and had no request in common, nor a beginning with
+// which none was served lately. Any other crash is a
 // batch of its own.
 func batched(crashes []crash) []crash {
 	list := slices.Clone(crashes)
@@ -58,7 +59,14 @@
 	common := 0
 	counts := map[Fingerprint]int{}
 	for _, c := range list[from:to] {
-		for f := range c.suspects {
+		there := map[Fingerprint]bool{}
+		for f, s := range c.suspects {
+			there[f] = true
+			for _, p := range s.beginnings() {
+				there[p] = true
+			}
+		}
+		for f := range there {
 			counts[f]++
 			common = max(common, counts[f])
 		}
--- a/internal/isolator/row.go
+++ b/internal/isolator/row.go
@@ -32,6 +32,9 @@
 	At int64 `json:"at,omitempty"`
 	// Prefixes are beginnings with which the daemon served requests; Served is the longest.
 	Prefixes prefixes `json:"prefixes,omitempty"`
+	// Earlier is set if all of these requests arrived before the first crash of a suspect with
+	// the beginning.
+	Earlier bool `json:"earlier,omitempty"`
 	// Trial names the daemon that last began to try a request with the condemned beginning
 	// Served. Daemons that don't know of it find no excused instance.
 	Trial string `json:"trial,omitempty"`
@@ -58,11 +61,14 @@
 
 // pooledName returns the name of the row in which a daemon says that it served requests with
 // beginnings. Other beginnings have another name, so that the content of a row never changes.
-func pooledName(list prefixes, daemon string) string {
-	text := make([]string, len(list))
+func pooledName(list prefixes, earlier bool, daemon string) string {
+	text := make([]string, len(list), len(list)+1)
 	for n, f := range list {
 		text[n] = f.String()
 	}
+	if earlier {
+		text = append(text, "earlier")
+	}
 	return servedName(newFingerprint(nil, text...), daemon)
 }
 
--- a/internal/isolator/rows_test.go
+++ b/internal/isolator/rows_test.go
@@ -127,7 +127,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		is.True(second.Try(context.Background(), isolator.NewMark(append(body[:300:300], "a sound one"...), "/other")))
-		second.Served(isolator.NewMark(append(body[:300:300], "a sound one"...), "/other"))
+		second.Served(isolator.NewMark(append(body[:300:300], "a sound one"...), "/other"), time.Now())
 		time.Sleep(time.Second)
 		kinds := map[string]int{}
 		for name, r := range d.rows(t) {
--- a/internal/isolator/served.go
+++ b/internal/isolator/served.go
@@ -10,25 +10,30 @@
 	servedFor = 5 * time.Minute
 )
 
-// served remembers for minutes with which beginnings this daemon served requests.
+// served remembers for minutes with which beginnings this daemon served requests, and when the
+// last of them arrived.
 type served struct {
-	young, old map[Fingerprint]struct{}
+	young, old map[Fingerprint]time.Time
 	since      time.Time
 }
 
-// add remembers a beginning.
-func (s *served) add(f Fingerprint, now time.Time) {
+// add remembers a beginning of a request that arrived at a time.
+func (s *served) add(f Fingerprint, arrived, now time.Time) {
 	if s.young == nil || len(s.young) >= maxServed || now.Sub(s.since) >= servedFor {
-		s.young, s.old, s.since = map[Fingerprint]struct{}{}, s.young, now
+		s.young, s.old, s.since = map[Fingerprint]time.Time{}, s.young, now
+	}
+	if arrived.After(s.young[f]) {
+		s.young[f] = arrived
 	}
-	s.young[f] = struct{}{}
 }
 
 // has reports whether a request with the beginning was served.
-func (s *served) has(f Fingerprint) bool {
-	if _, ok := s.young[f]; ok {
-		return true
+func (s *served) has(f Fingerprint) bool { return !s.last(f).IsZero() }
+
+// last returns when the last request with the beginning arrived that was served, zero for none.
+func (s *served) last(f Fingerprint) time.Time {
+	if at, ok := s.young[f]; ok {
+		return at
 	}
-	_, ok := s.old[f]
-	return ok
+	return s.old[f]
 }
--- a/internal/isolator/suspect.go
+++ b/internal/isolator/suspect.go
@@ -6,7 +6,8 @@
 	// maxRecorded bounds the beginnings of one suspect and of one row of served beginnings, so
 	// that a row of 64 suspects takes less than 64 KB.
 	maxRecorded = 64
-	// maxKnown is the number of those that are recorded because another suspect has them.
+	// maxKnown is the number of the longest, and of the shortest, of those that are recorded
+	// because another suspect has them.
 	maxKnown = 8
 )
 
@@ -21,20 +22,29 @@
 }
 
 // newSuspect returns the suspect with a mark: its beginnings at exponentially growing distances
-// from its end, and the longest that other suspects are known to have.
+// from its end, and the longest and the shortest that other suspects are known to have. The
+// shortest ones join the crashes of a request that comes with much more content each time.
 func newSuspect(m Mark, known map[Fingerprint]bool) suspect {
 	s := suspect{Whole: m.Whole, Start: m.Start}
 	count := 0
-	if len(m.prefixes) > 0 {
-		count = m.prefixes[len(m.prefixes)-1].index()
+	var common []Fingerprint
+	for _, f := range m.prefixes {
+		count = f.index()
+		if known[f] {
+			common = append(common, f)
+		}
+	}
+	recorded := map[Fingerprint]bool{}
+	for n, f := range common {
+		recorded[f] = n < maxKnown || n >= len(common)-maxKnown
 	}
-	common := 0
+	left := maxRecorded - min(len(common), 2*maxKnown)
 	for _, f := range slices.Backward(m.prefixes) {
-		isKnown := common < maxKnown && known[f]
-		if isKnown {
-			common++
+		if !recorded[f] && left > 0 && isRecorded(f.index(), count) {
+			recorded[f] = true
+			left--
 		}
-		if len(s.Prefixes) < maxRecorded && (isKnown || isRecorded(f.index(), count)) {
+		if recorded[f] {
 			s.Prefixes = append(s.Prefixes, f)
 		}
 	}
--- a/internal/isolator/trial.go
+++ b/internal/isolator/trial.go
@@ -68,7 +68,7 @@
 	held := false
 	for _, f := range m.beginnings() {
 		b := i.found.beginnings[f]
-		if !b.holds(now) {
+		if !b.condemned {
 			continue
 		}
 		if t := i.trials[f]; t.whole == m.Whole && now.Sub(t.at) < trialLasts && !b.last.After(t.at) {
@@ -100,14 +100,17 @@
 	}
 }
 
-// poolLocked says in a row that this daemon served requests with beginnings that several bodies
-// at crashes have in common, if no daemon has said so.
-func (i *Isolator) poolLocked(now time.Time) {
-	list := i.found.unpooled
-	if len(list) == 0 {
-		return
+// sayServedLocked says in rows that this daemon served requests with beginnings that several
+// bodies at crashes have in common, if no daemon has said so.
+func (i *Isolator) sayServedLocked(now time.Time) {
+	i.sayLocked(i.found.unsaid, false, now)
+	i.sayLocked(i.found.unsaidEarlier, true, now)
+	i.found.unsaid, i.found.unsaidEarlier = nil, nil
+}
+
+func (i *Isolator) sayLocked(list []Fingerprint, earlier bool, now time.Time) {
+	if len(list) > 0 {
+		list = list[:min(len(list), maxRecorded)]
+		i.putOwnLocked(pooledName(list, earlier, i.options.Name), row{Served: list[0], Prefixes: list, Earlier: earlier}, now)
 	}
-	i.found.unpooled = nil
-	list = list[:min(len(list), maxRecorded)]
-	i.putOwnLocked(pooledName(list, i.options.Name), row{Served: list[0], Prefixes: list}, now)
 }
--- a/internal/isolator/world_test.go
+++ b/internal/isolator/world_test.go
@@ -113,7 +113,7 @@
 			if now.Before(c.ends) {
 				return false
 			}
-			c.daemon.Served(c.mark)
+			c.daemon.Served(c.mark, time.Now())
 			w.served++
 			c.client.running = false
 			w.slowest = max(w.slowest, now.Sub(c.client.begun))
--- a/internal/selector/replaydaemon_test.go
+++ b/internal/selector/replaydaemon_test.go
@@ -117,7 +117,7 @@
 	switch q.last = err; {
 	case err == nil:
 		c.ReportLoad(load)
-		d.isolator.Served(q.mark)
+		d.isolator.Served(q.mark, time.Now())
 		c.End(selector.Served)
 	case errors.Is(err, errBrokeOff):
 		d.isolator.BrokeOff(service, c.Instance, c.Replica.Address, q.mark)
