--- a/internal/isolator/doc.go
+++ b/internal/isolator/doc.go
@@ -11,8 +11,9 @@
 // A client that keeps its conversation itself sends a crashing request with more content each
 // time. Each request therefore has a ladder of fingerprints of beginnings of its body. If
 // several different bodies crashed replicas, the longest beginning that they have in common is
-// condemned, unless a daemon has served a request with that beginning within minutes; it says so
-// in a row. A request with a condemned beginning that was not condemned itself is held: all
+// condemned, unless a request with that beginning which arrived after the first crash was served;
+// the daemon that served it reports that in a row. Requests that were served in the minutes before
+// only raise the number of crashes that it takes. A request with a condemned beginning that was not condemned itself is held: all
 // daemons together try one, alone, at falling intervals. Its success clears the beginning for
 // all daemons, and a crash counts.
 //
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -5,7 +5,7 @@
 // evidence is the rows of all daemons, joined by the instance that crashed.
 type evidence struct {
 	crashes map[string]*crash
-	// served are the beginnings with which daemons have said to have served requests: true if
+	// served are the beginnings with which daemons have reported to have served requests: true if
 	// one of these arrived after the first crash of a suspect with the beginning.
 	served map[Fingerprint]bool
 	// excused are the instances at whose crashes a suspect was before it was served.
--- a/internal/isolator/family.go
+++ b/internal/isolator/family.go
@@ -166,13 +166,13 @@
 // as harmless if one of these requests arrived after the first crash with the beginning, and as
 // served earlier otherwise. It returns the ones of both kinds that several bodies at confirmed
 // crashes have and that only this daemon knows of.
-func (f *families) excuse(said map[Fingerprint]bool, own func(Fingerprint) time.Time) (harmless, earlier []Fingerprint) {
+func (f *families) excuse(reported map[Fingerprint]bool, own func(Fingerprint) time.Time) (harmless, earlier []Fingerprint) {
 	for _, c := range f.crashes {
 		for _, s := range c.members {
 			isHarmless, isEarlier := false, false
 			for _, p := range slices.Backward(s.all) {
 				at := own(p)
-				after, known := said[p]
+				after, known := reported[p]
 				isHarmless = isHarmless || after || at.After(f.tallies[p].first)
 				isEarlier = isEarlier || known || !at.IsZero()
 				f.harmless[p] = f.harmless[p] || isHarmless
@@ -181,7 +181,7 @@
 		}
 	}
 	for p, t := range f.tallies {
-		after, known := said[p]
+		after, known := reported[p]
 		switch {
 		case !t.several || t.confirmed < 2:
 		case f.harmless[p] && !after:
--- a/internal/isolator/findings.go
+++ b/internal/isolator/findings.go
@@ -6,10 +6,10 @@
 	// that several bodies have in common.
 	wholes     map[Fingerprint]Verdict
 	beginnings map[Fingerprint]beginning
-	// unsaid are the beginnings that several bodies at crashes have in common, with which this
-	// daemon served a request that arrived after the first of the crashes and no daemon has said
-	// so yet, and unsaidEarlier those with which it served one before.
-	unsaid, unsaidEarlier []Fingerprint
+	// unreported are the beginnings that several bodies at crashes have in common, with which this
+	// daemon served a request that arrived after the first of the crashes and no daemon has
+	// reported it yet, and unreportedEarlier those with which it served one before.
+	unreported, unreportedEarlier []Fingerprint
 	// known are the beginnings of all suspects with which no request was served since.
 	known map[Fingerprint]bool
 }
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -155,7 +155,7 @@
 	if shares {
 		i.changedLocked()
 		i.judgeLocked(now)
-		i.sayServedLocked(now)
+		i.reportServedLocked(now)
 	}
 }
 
--- a/internal/isolator/judge.go
+++ b/internal/isolator/judge.go
@@ -43,13 +43,14 @@
 // the other, the one with the most crashes first, and the crashes that it explains count
 // against no other. Crashes that look like an outage count only if requests that were at many
 // separate batches explain all of it. Then the common beginnings of different requests are
-// judged in the same way; said are those that daemons have said to have served, true if also
-// after the first crash, and own returns when a request arrived that this daemon served last.
-func judge(crashes []crash, said map[Fingerprint]bool, own func(Fingerprint) time.Time, before map[Fingerprint]Verdict) findings {
+// judged in the same way; reported are those with which daemons have reported to have served
+// requests, true if one arrived after the first crash, and own returns when a request arrived
+// that this daemon served last.
+func judge(crashes []crash, reported map[Fingerprint]bool, own func(Fingerprint) time.Time, before map[Fingerprint]Verdict) findings {
 	j := newJudgment(crashes)
 	j.before = before
 	f := newFamilies(j.crashes, j.counts)
-	f.excuse(said, own)
+	f.excuse(reported, own)
 	j.explain(f.explainedOutages())
 	found := findings{wholes: map[Fingerprint]Verdict{}, known: map[Fingerprint]bool{}}
 	base := map[Fingerprint]int{}
@@ -72,7 +73,7 @@
 	}
 	f = newFamilies(j.crashes, j.counts)
 	f.base = base
-	found.unsaid, found.unsaidEarlier = f.excuse(said, own)
+	found.unreported, found.unreportedEarlier = f.excuse(reported, own)
 	for p := range f.tallies {
 		found.known[p] = !f.harmless[p]
 	}
--- a/internal/isolator/rows.go
+++ b/internal/isolator/rows.go
@@ -184,7 +184,7 @@
 	var tx storer.Transaction
 	i.mu.Lock()
 	i.judgeLocked(now)
-	i.sayServedLocked(now)
+	i.reportServedLocked(now)
 	i.expireTrialsLocked(now)
 	retained := i.found.retained()
 	for name, r := range i.records {
--- a/internal/isolator/trial.go
+++ b/internal/isolator/trial.go
@@ -100,15 +100,15 @@
 	}
 }
 
-// sayServedLocked says in rows that this daemon served requests with beginnings that several
-// bodies at crashes have in common, if no daemon has said so.
-func (i *Isolator) sayServedLocked(now time.Time) {
-	i.sayLocked(i.found.unsaid, false, now)
-	i.sayLocked(i.found.unsaidEarlier, true, now)
-	i.found.unsaid, i.found.unsaidEarlier = nil, nil
+// reportServedLocked reports in rows that this daemon served requests with beginnings that several
+// bodies at crashes have in common, if no daemon has reported that.
+func (i *Isolator) reportServedLocked(now time.Time) {
+	i.reportBeginningsLocked(i.found.unreported, false, now)
+	i.reportBeginningsLocked(i.found.unreportedEarlier, true, now)
+	i.found.unreported, i.found.unreportedEarlier = nil, nil
 }
 
-func (i *Isolator) sayLocked(list []Fingerprint, earlier bool, now time.Time) {
+func (i *Isolator) reportBeginningsLocked(list []Fingerprint, earlier bool, now time.Time) {
 	if len(list) > 0 {
 		list = list[:min(len(list), maxRecorded)]
 		i.putOwnLocked(pooledName(list, earlier, i.options.Name), row{Served: list[0], Prefixes: list, Earlier: earlier}, now)
