--- a/internal/isolator/doc.go
+++ b/internal/isolator/doc.go
@@ -11,11 +11,11 @@
 // A client that keeps its conversation itself sends a crashing request with more content each
 // time. Each request therefore has a ladder of fingerprints of beginnings of its body. If
 // several different bodies crashed replicas, the longest beginning that they have in common is
-// condemned, unless a request with that beginning which arrived after the first crash was served;
-// the daemon that served it reports that in a row. Requests that were served in the minutes before
-// only raise the number of crashes that it takes. A request with a condemned beginning that was not condemned itself is held: all
-// daemons together try one, alone, at falling intervals. Its success clears the beginning for
-// all daemons, and a crash counts.
+// condemned, unless a request with that beginning which arrived after the first crash was
+// served; the daemon that served it reports that in a row. Requests that were served in the
+// minutes before only raise the number of crashes that it takes. A request with a condemned
+// beginning that was not condemned itself is held: all daemons together try one, alone, at
+// falling intervals. Its success clears the beginning for all daemons, and a crash counts.
 //
 // The judgment (judge) has no clock and no store.
 package isolator
