isolator: [fix] an input that crashes replicas is known in each conversation

On routes that keep histories one input comes as the continuation of many turns, and beginnings included the turn that is continued, so that these had nothing in common.

Change: only the fingerprint of the whole, and a beginning without a body, include that turn.

--- a/internal/isolator/mark.go
+++ b/internal/isolator/mark.go
@@ -24,15 +24,18 @@
 }
 
 // NewTurnMark returns the mark of a request that continues a turn, or that of NewMark without
-// one.
+// one. Only the whole tells turns apart that continue others: inputs that begin alike may be the
+// cause in any conversation.
 func NewTurnMark(parent string, body []byte, fields ...string) Mark {
-	if parent != "" {
-		fields = append(fields[:len(fields):len(fields)], parent)
-	}
 	start := body[:min(startBytes, len(body))]
-	m := Mark{Start: newFingerprint(start, fields...), prefixes: newPrefixes(parent != "", body, fields...)}
-	if m.Whole = m.Start; len(start) < len(body) {
+	m := Mark{Start: newFingerprint(start, fields...), prefixes: newPrefixes(parent, body, fields...)}
+	switch {
+	case parent != "":
+		m.Whole = newFingerprint(body, append(fields[:len(fields):len(fields)], parent)...)
+	case len(start) < len(body):
 		m.Whole = newFingerprint(body, fields...)
+	default:
+		m.Whole = m.Start
 	}
 	return m
 }
--- a/internal/isolator/prefix.go
+++ b/internal/isolator/prefix.go
@@ -30,14 +30,12 @@
 )
 
 // newPrefixes returns the fingerprints of the beginnings of a body, the shortest first. If the
-// request continues a turn, the first is that of the turn without a body.
-func newPrefixes(continues bool, body []byte, fields ...string) []Fingerprint {
-	seed := newFingerprint(nil, fields...)
-	var sum [sha256.Size]byte
-	copy(sum[:], seed[:])
+// request continues a turn, the first is that of the turn, without a body.
+func newPrefixes(parent string, body []byte, fields ...string) []Fingerprint {
+	sum := seedOf(fields)
 	list := make([]Fingerprint, 0, min(maxBeginnings, len(body)/fineStep+1, fineBytes/fineStep+len(body)/mediumStep+1))
-	if continues {
-		list = append(list, newPrefix(sum, 0))
+	if parent != "" {
+		list = append(list, newPrefix(seedOf(append(fields[:len(fields):len(fields)], parent)), 0))
 	}
 	block := make([]byte, 0, sha256.Size+longStep)
 	for at, index := 0, 1; index < maxBeginnings; index++ {
@@ -52,6 +50,13 @@
 	return list
 }
 
+// seedOf returns the hash with which the beginnings of a request with the given fields start.
+func seedOf(fields []string) (sum [sha256.Size]byte) {
+	seed := newFingerprint(nil, fields...)
+	copy(sum[:], seed[:])
+	return sum
+}
+
 // stepAt returns the number of bytes from one beginning to the next longer one.
 func stepAt(length int) int {
 	switch {
