server,logger,relayer,platform: [new] a process says why it ends and how its predecessor did

Cause: server.Run returned from a failed start without waiting for the logger, so the queued lines were lost; the logger wrote one batch of 64 KB at its end and dropped the rest; the reason went to standard error without time or VM; signals and limits were not logged. Nothing said how the process before on the VM ended.

Change: the logger outlives the daemon, writes all queued lines and then `server: exit` with the reason; the same line goes to standard error. Received signals are a line. The relayer reads its own member row before it overwrites it, once: with another process' name in it, that process did not stop as planned. No change of what ends a process.

--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -50,9 +50,20 @@
 // Dropped returns the number of lines that were dropped because the queue was full.
 func (r *Logger) Dropped() int64 { return r.dropped.Load() }
 
-// Wait returns once the context has ended and the last batch is written.
+// Wait returns once the context has ended and all queued lines are written.
 func (r *Logger) Wait() error { return r.tomb.Wait() }
 
+// WaitTimeout is like Wait, but returns false if the lines are not written in time because
+// the writer blocks.
+func (r *Logger) WaitTimeout(timeout time.Duration) bool {
+	select {
+	case <-r.tomb.Dead():
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
 func (r *Logger) enqueue(l *Line) {
 	l.text = append(l.text, '\n')
 	select {
@@ -71,8 +82,7 @@
 		case l := <-r.queue:
 			batch = r.appendQueued(batch[:0], l)
 		case <-r.tomb.Dying():
-			_, err := r.out.Write(r.drain(batch[:0]))
-			return err
+			return r.writeQueued(batch)
 		}
 		if n := r.dropped.Load(); n > reported {
 			batch = append(batch, r.droppedNotice(n-reported)...)
@@ -87,6 +97,20 @@
 	}
 }
 
+// writeQueued writes all lines that are queued, in batches.
+func (r *Logger) writeQueued(batch []byte) error {
+	var err error
+	for {
+		batch = r.drain(batch[:0])
+		if len(batch) == 0 {
+			return err
+		}
+		if _, writeErr := r.out.Write(batch); writeErr != nil {
+			err = writeErr
+		}
+	}
+}
+
 // appendQueued appends a line and the lines queued after it, up to the size of a batch.
 func (r *Logger) appendQueued(batch []byte, l *Line) []byte {
 	batch = append(batch, l.text...)
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -94,3 +94,37 @@
 		is.Equal(len(s.lines()), 2)
 	})
 }
+
+// TestAllQueuedLinesAreWrittenOnStop guards against the loss of the lines after the first
+// batch when the context ends.
+func TestAllQueuedLinesAreWrittenOnStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &blockingWriter{}
+		ctx, cancel := context.WithCancel(context.Background())
+		r := logger.Start(ctx, s)
+		const lines = 1000
+		for range lines {
+			r.Event("part", "happened").Str("text", strings.Repeat("x", 500)).End()
+		}
+		cancel()
+		is.True(r.WaitTimeout(time.Second))
+		is.Equal(len(s.lines()), lines)
+	})
+}
+
+// TestWaitTimeoutReturnsIfTheWriterBlocks guards against an exit that a blocked output holds up.
+func TestWaitTimeoutReturnsIfTheWriterBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &blockingWriter{unblocked: make(chan struct{})}
+		ctx, cancel := context.WithCancel(context.Background())
+		r := logger.Start(ctx, s)
+		r.Event("part", "happened").End()
+		cancel()
+		is.True(!r.WaitTimeout(time.Second))
+		close(s.unblocked)
+		is.True(r.WaitTimeout(time.Second))
+		is.Equal(len(s.lines()), 1)
+	})
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -85,6 +85,8 @@
 	registry *registry
 	// left is set once a planned stop has begun to remove the member row.
 	left atomic.Bool
+	// predecessorChecked is set once the row of the process before this one was read.
+	predecessorChecked bool
 }
 
 // New returns a relayer without peers; Start begins to discover them.
@@ -212,6 +214,7 @@
 		x.pool.Store(messenger.NewPool(x.options.Dial, secret))
 		x.known.Store(&secret)
 	}
+	x.checkPredecessor(attemptCtx)
 	value, err := x.memberValue(time.Now())
 	if err != nil {
 		x.logger.Event("relayer", "no member row").Err(err).End()
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -123,30 +123,28 @@
 
 // Run runs a daemon until the context ends, and then performs a planned stop.
 func Run(ctx context.Context, o Options, p Platform) error {
+	e := newExit(o)
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	d := newDaemon(runCtx, o, p)
+	d := newDaemon(runCtx, o, p, e.logger)
 	if err := d.start(runCtx); err != nil {
-		return err
+		return e.report(startFailed, err)
 	}
 	select {
 	case <-ctx.Done():
+		d.logger.Event("server", "signal").Str("name", context.Cause(ctx).Error()).End()
 	case <-d.tomb.Dying():
 	}
 	d.stop()
 	cancel()
-	err := d.tomb.Wait()
-	// The logger stops with the context. Its write error can't be logged anywhere.
-	_ = d.logger.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil // The result of a planned stop.
+	if err := d.tomb.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return e.report(goroutineFailed, err)
 	}
-	return err
+	return e.report(plannedStop, nil)
 }
 
-func newDaemon(ctx context.Context, o Options, p Platform) *Daemon {
-	d := &Daemon{options: o, platform: p, catalog: &cataloger.Keeper{}, metrics: reporter.New(reportPeriod)}
-	d.logger = logger.Start(ctx, o.Output)
+func newDaemon(ctx context.Context, o Options, p Platform, l *logger.Logger) *Daemon {
+	d := &Daemon{options: o, platform: p, logger: l, catalog: &cataloger.Keeper{}, metrics: reporter.New(reportPeriod)}
 	d.outageLog = newOutageLog(d.logger)
 	d.tracker = tracker.New(tracker.Options{OutageGrace: outageGrace})
 	d.store = newGuard(p.Table, p.Feed)
@@ -187,7 +185,7 @@
 func (d *Daemon) start(runCtx context.Context) error {
 	d.tomb, _ = tomb.WithContext(runCtx)
 	ctx := d.tomb.Context(nil)
-	d.logger.Event("server", "start").Str("name", d.options.Name).Str("zone", d.options.Zone).Str("front", d.options.ClientAddress).End()
+	d.logStart()
 	d.relayer.Start(runCtx)
 	follower.Start(ctx, d.relayer, &configSink{
 		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, logger: d.logger, outageLog: d.outageLog,
@@ -233,7 +231,7 @@
 
 func (a *acceptLoop) run() error {
 	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve")
+		return errors.Wrapf(err, "serve on %s", a.listener.Addr())
 	}
 	return nil
 }
@@ -323,7 +321,9 @@
 	asked, missed, opened := d.programs.Counts()
 	recorded, dropped := d.versions.Counts()
 	coordinatorsAsked, fellBack, placed := d.placements.Counts()
-	d.logger.Event("server", "counts").Int("active", d.forwarder.Active()).
+	u := readUsage()
+	u.update(d.metrics.Scope())
+	line := d.logger.Event("server", "counts").Int("active", d.forwarder.Active()).
 		Int("store-reads", int(s.Reads)).Int("store-commits", int(s.Commits)).Int("store-lists", int(s.Lists)).
 		Int("store-changes", int(s.Changes)).Int("store-refused", int(s.Refused)).
 		Int("turns-in-memory", int(hits)).Int("turns-read", int(misses)).Int("turn-repeats", int(repeats)).
@@ -334,5 +334,6 @@
 		Int("relayed", int(relayed)).Int("relays-served", int(served)).
 		Int("detoured", int(c.Detoured)).Int("tunnels-served", d.tunnelService.Active()).
 		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).Int("identified", int(c.Identified)).
-		Int("lines-dropped", int(d.logger.Dropped())).End()
+		Int("lines-dropped", int(d.logger.Dropped()))
+	u.appendTo(line).End()
 }
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -35,7 +35,9 @@
 	// RowBytes is the maximum size of a row of the store.
 	RowBytes    int
 	MemoryBytes int64
-	Output      io.Writer
+	// Output receives the log lines, and ErrorOutput only the last one, with the reason of the
+	// exit. ErrorOutput may be nil.
+	Output, ErrorOutput io.Writer
 	// ReloadSignals receives a signal when the settings have changed, and Reload reads them
 	// again. Both may be nil.
 	ReloadSignals <-chan os.Signal
