platform,server,logger,main: [fix] outputs that fail end no process

Cause: a write to descriptor 1 or 2 without a reader raises SIGPIPE, which ends a Go program that does not ignore it. klog and package log write to standard error with a lock held, and the exit of a process waited for both outputs without a bound, so one that nobody reads kept a daemon alive past its grace time.

The error of a failed command is written for 0.15 s at most.

Ruled out: standard output that nobody reads, /dev/full and closed descriptors 1 and 2 end no process that runs (passed before).

--- a/cmd/pimentorail/main.go
+++ b/cmd/pimentorail/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
@@ -77,11 +78,35 @@
 	stop()
 	klog.Flush()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "pimentorail:", err)
+		reportFailure(err)
 		os.Exit(exitCode(err))
 	}
 }
 
+// reportTimeout bounds the wait for a standard error that blocks.
+const reportTimeout = 150 * time.Millisecond
+
+// failureReport writes the error of a failed command to standard error.
+type failureReport struct {
+	err  error
+	done chan struct{}
+}
+
+func (r *failureReport) run() {
+	defer close(r.done)
+	fmt.Fprintln(os.Stderr, "pimentorail:", r.err)
+}
+
+// reportFailure writes an error to standard error, unless that blocks.
+func reportFailure(err error) {
+	r := &failureReport{err: err, done: make(chan struct{})}
+	go r.run()
+	select {
+	case <-r.done:
+	case <-time.After(reportTimeout):
+	}
+}
+
 func setLogging(verbosity int) {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -1,6 +1,7 @@
 package logger
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -16,14 +17,22 @@
 	maxBatchBytes  = 64 << 10
 )
 
+var newline = []byte{'\n'}
+
 // Logger queues log lines and writes them to one writer.
 type Logger struct {
 	out     io.Writer
 	queue   chan *Line
 	pool    sync.Pool
 	dropped atomic.Int64
-	tomb    *tomb.Tomb
-	now     func() time.Time
+	// unwritten is the number of lines that the writer did not take.
+	unwritten atomic.Int64
+	// droppedReported and unwrittenReported are the counts that were last written.
+	droppedReported, unwrittenReported int64
+	// cut is set if the last thing written is a part of a line.
+	cut  bool
+	tomb *tomb.Tomb
+	now  func() time.Time
 }
 
 // Start returns a Logger that writes until the context ends.
@@ -50,6 +59,9 @@
 // Dropped returns the number of lines that were dropped because the queue was full.
 func (r *Logger) Dropped() int64 { return r.dropped.Load() }
 
+// Unwritten returns the number of lines that were lost because the writer failed.
+func (r *Logger) Unwritten() int64 { return r.unwritten.Load() }
+
 // Wait returns once the context has ended and all queued lines are written.
 func (r *Logger) Wait() error { return r.tomb.Wait() }
 
@@ -75,7 +87,6 @@
 }
 
 func (r *Logger) run() error {
-	var reported int64
 	batch := make([]byte, 0, maxBatchBytes)
 	for {
 		select {
@@ -84,12 +95,7 @@
 		case <-r.tomb.Dying():
 			return r.writeQueued(batch)
 		}
-		if n := r.dropped.Load(); n > reported {
-			batch = append(batch, r.droppedNotice(n-reported)...)
-			reported = n
-		}
-		// A write error can't be logged anywhere.
-		_, _ = r.out.Write(batch)
+		_ = r.write(batch) // A failure is counted.
 		select {
 		case <-time.After(flushPeriod):
 		case <-r.tomb.Dying():
@@ -105,12 +111,55 @@
 		if len(batch) == 0 {
 			return err
 		}
-		if _, writeErr := r.out.Write(batch); writeErr != nil {
+		if writeErr := r.write(batch); writeErr != nil {
 			err = writeErr
 		}
 	}
 }
 
+// write writes a batch after the notices of lines that were lost before. Lines that the
+// writer does not take are lost, not tried again, so that a writer that fails for long uses
+// no memory.
+func (r *Logger) write(batch []byte) error {
+	r.writeNotices()
+	n, err := r.writeText(batch)
+	if err != nil {
+		r.unwritten.Add(int64(bytes.Count(batch[n:], newline)))
+	}
+	return err
+}
+
+// writeNotices writes the counts of lost lines. Those that fail are written later.
+func (r *Logger) writeNotices() {
+	if n := r.dropped.Load(); n > r.droppedReported {
+		if _, err := r.writeText(r.notice("dropped lines", n-r.droppedReported)); err == nil {
+			r.droppedReported = n
+		}
+	}
+	if n := r.unwritten.Load(); n > r.unwrittenReported {
+		if _, err := r.writeText(r.notice("lines not written", n-r.unwrittenReported)); err == nil {
+			r.unwrittenReported = n
+		}
+	}
+}
+
+// writeText writes whole lines and returns how many bytes of them were written. It first ends
+// a line of which the writer took only a part.
+func (r *Logger) writeText(text []byte) (int, error) {
+	if r.cut {
+		if _, err := r.out.Write(newline); err != nil {
+			return 0, err
+		}
+		r.cut = false
+	}
+	n, err := r.out.Write(text)
+	n = max(0, min(n, len(text)))
+	if n > 0 {
+		r.cut = text[n-1] != '\n'
+	}
+	return n, err
+}
+
 // appendQueued appends a line and the lines queued after it, up to the size of a batch.
 func (r *Logger) appendQueued(batch []byte, l *Line) []byte {
 	batch = append(batch, l.text...)
@@ -131,9 +180,10 @@
 	return batch
 }
 
-func (r *Logger) droppedNotice(count int64) []byte {
+// notice returns a line about lost lines.
+func (r *Logger) notice(event string, count int64) []byte {
 	// "recorder" is the fixed name of this package in logs.
-	l := r.Event("recorder", "dropped lines")
+	l := r.Event("recorder", event)
 	l.Int("count", int(count))
 	return append(l.text, '\n')
 }
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -128,3 +128,61 @@
 		is.Equal(len(s.lines()), 1)
 	})
 }
+
+// failingWriter takes the first limit bytes of each write and fails if there are more.
+// A negative limit takes everything.
+type failingWriter struct {
+	blockingWriter
+	limit int
+}
+
+func (w *failingWriter) Write(p []byte) (int, error) {
+	if w.limit < 0 || len(p) <= w.limit {
+		return w.blockingWriter.Write(p)
+	}
+	_, _ = w.blockingWriter.Write(p[:w.limit])
+	return w.limit, errors.New("no space left")
+}
+
+// TestAWriterThatFailsLosesOnlyItsLines guards against a logger that stops, or keeps lines for
+// ever, when its writer fails, and against lines that are lost without a count.
+func TestAWriterThatFailsLosesOnlyItsLines(t *testing.T) {
+	for _, limit := range []int{0, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := &failingWriter{limit: limit}
+			ctx, cancel := context.WithCancel(context.Background())
+			r := logger.Start(ctx, w)
+			r.Event("part", "lost").End()
+			r.Event("part", "lost").End()
+			time.Sleep(time.Second)
+			is.Equal(r.Unwritten(), int64(2))
+			w.limit = -1
+			r.Event("part", "after").End()
+			time.Sleep(time.Second)
+			lines := w.lines()
+			is.Equal(lines[len(lines)-2][13:], "recorder: lines not written count=2")
+			is.Equal(lines[len(lines)-1][13:], "part: after")
+			is.Equal(r.Unwritten(), int64(2))
+			cancel()
+			_ = r.Wait()
+		})
+	}
+}
+
+// TestWriterQueuesWhatLibrariesLog guards against libraries that block, or end the process,
+// because they write to an output that fails.
+func TestWriterQueuesWhatLibrariesLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &blockingWriter{}
+		ctx, cancel := context.WithCancel(context.Background())
+		r := logger.Start(ctx, s)
+		n, err := r.Writer("library").Write([]byte("two words\n"))
+		is.NoErr(err)
+		is.Equal(n, 10)
+		cancel()
+		_ = r.Wait()
+		is.Equal(s.lines()[0][13:], `library: message text="two words"`)
+	})
+}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -124,6 +124,9 @@
 // Run runs a daemon until the context ends, and then performs a planned stop.
 func Run(ctx context.Context, o Options, p Platform) error {
 	e := newExit(o)
+	if o.RedirectLibraries != nil {
+		o.RedirectLibraries(e.logger.Writer("library"))
+	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	d := newDaemon(runCtx, o, p, e.logger)
@@ -334,6 +337,6 @@
 		Int("relayed", int(relayed)).Int("relays-served", int(served)).
 		Int("detoured", int(c.Detoured)).Int("tunnels-served", d.tunnelService.Active()).
 		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).Int("identified", int(c.Identified)).
-		Int("lines-dropped", int(d.logger.Dropped()))
+		Int("lines-dropped", int(d.logger.Dropped())).Int("lines-unwritten", int(d.logger.Unwritten()))
 	u.appendTo(line).End()
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -17,6 +17,7 @@
 	s.Gauge("requests-condemned").Update(float64(condemned))
 	s.Gauge("store-away-seconds").Update(d.store.OutageDuration().Seconds())
 	s.Gauge("log-lines-dropped").Update(float64(d.logger.Dropped()))
+	s.Gauge("log-lines-unwritten").Update(float64(d.logger.Unwritten()))
 	c := d.forwarder.Connections()
 	s.Gauge("connections-dialed").Update(float64(c.Dialed))
 	s.Gauge("connections-detoured").Update(float64(c.Detoured))
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -38,6 +38,9 @@
 	// Output receives the log lines, and ErrorOutput only the last one, with the reason of the
 	// exit. ErrorOutput may be nil.
 	Output, ErrorOutput io.Writer
+	// RedirectLibraries lets libraries write their messages to w in place of standard error,
+	// which may block or fail. It may be nil.
+	RedirectLibraries func(w io.Writer)
 	// ReloadSignals receives a signal when the settings have changed, and Reload reads them
 	// again. Both may be nil.
 	ReloadSignals <-chan os.Signal
