messenger: [fix] an accept error leaves a daemon without peers for good

Seen by callers: none; peers can't reach the daemon any more, nothing says so. Cause: Server.run ended its loop, without a line, at the first error of Accept, also one that concerns a single connection or passes when descriptors or buffers are there again. Change: the listener is wrapped by package acceptor, so only its end ends the loop. Evidence: before, TestPeersAreServedAfterAcceptErrors failed ("read ...: i/o timeout", 5 s after the connection); now it passes with -race, as do the tests of messenger and relayer.

--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -10,6 +10,8 @@
 
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
+
+	"pimentorail.example/pimentorail/internal/acceptor"
 )
 
 // StreamHandler serves a connection that a peer opened with Pool.OpenStream. The connection is
@@ -46,7 +48,7 @@
 
 // Start accepts connections on a listener until the context ends.
 func (s *Server) Start(ctx context.Context, l net.Listener) {
-	s.ln = l
+	s.ln = acceptor.Wrap(l, "peers", acceptor.KlogObserver("messenger"))
 	s.tomb, _ = tomb.WithContext(ctx)
 	s.tomb.Go(s.run)
 	s.tomb.Go(s.loop)
@@ -60,7 +62,7 @@
 	for {
 		c, err := s.ln.Accept()
 		if err != nil {
-			return nil
+			return nil // The listener is closed.
 		}
 		peer := &session{server: s, conn: c}
 		s.tomb.Go(peer.run)
