runner,main: [fix] a port that is held ends pimentorail daemon at its start

Seen: exit status 1, "address already in use", when a predecessor that drains or another process still has the port for callers or for daemons; and the accept loop for callers ended on ENOBUFS, ENOMEM and other errors of accept. Cause: each port was tried once. Change: Daemon.Listen opens both through package acceptor, waits while the error passes, and ends with its context (a stop meanwhile: exit status 0). The tests of runner and of the command line pass.

--- a/cmd/pimentorail/daemon.go
+++ b/cmd/pimentorail/daemon.go
@@ -25,6 +25,12 @@
 		return err
 	}
 	d := runner.New(*s)
+	if err := d.Listen(ctx); err != nil {
+		if errors.Is(err, context.Canceled) {
+			return nil // A stop while a port was held.
+		}
+		return err
+	}
 	background := context.WithoutCancel(ctx)
 	if err := d.Start(background); err != nil {
 		return err
--- a/internal/runner/daemon.go
+++ b/internal/runner/daemon.go
@@ -12,6 +12,7 @@
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
 
+	"pimentorail.example/pimentorail/internal/acceptor"
 	"pimentorail.example/pimentorail/internal/allocator"
 	"pimentorail.example/pimentorail/internal/conductor"
 	"pimentorail.example/pimentorail/internal/configurer"
@@ -69,8 +70,10 @@
 	controller *controller.Controller
 	metrics    *metrics
 	httpServer *http.Server
-	cancel     context.CancelFunc
-	tomb       *tomb.Tomb
+	// rpcListener and httpListener are open once Listen has returned.
+	rpcListener, httpListener *acceptor.Listener
+	cancel                    context.CancelFunc
+	tomb                      *tomb.Tomb
 }
 
 // New returns a daemon that is not started yet.
@@ -132,28 +135,48 @@
 	return []component{d.watcher, d.lister, d.journal, d.programs, d.replicas, d.slices, d.conductor, d.leaser, d.reaper, d.controller}
 }
 
-// Start starts the daemon, which runs until Stop or Kill, or until the context ends.
-func (d *Daemon) Start(ctx context.Context) error {
-	if err := d.registerServices(ctx); err != nil {
-		return err
-	}
-	rpcListener, err := net.Listen("tcp", d.settings.RPC)
+// Listen opens the listeners, each as soon as its port is free. It returns context.Canceled
+// if the context ends meanwhile.
+func (d *Daemon) Listen(ctx context.Context) error {
+	a := acceptor.New(ctx, listen, acceptor.KlogObserver("runner"))
+	rpcListener, err := a.Open(ctx, "daemons", d.settings.RPC)
 	if err != nil {
-		return errors.Wrap(err, "rpc-address")
+		return errors.WithMessage(err, "rpc-address")
 	}
-	httpListener, err := net.Listen("tcp", d.settings.HTTP)
+	httpListener, err := a.Open(ctx, "callers", d.settings.HTTP)
 	if err != nil {
 		_ = rpcListener.Close()
-		return errors.Wrap(err, "http-address")
+		return errors.WithMessage(err, "http-address")
+	}
+	d.rpcListener, d.httpListener = rpcListener, httpListener
+	return nil
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var c net.ListenConfig
+	return c.Listen(ctx, "tcp", address)
+}
+
+// Start starts the daemon, which runs until Stop or Kill, or until the context ends. It calls
+// Listen unless that was done before.
+func (d *Daemon) Start(ctx context.Context) error {
+	if d.rpcListener == nil {
+		if err := d.Listen(ctx); err != nil {
+			return err
+		}
+	}
+	if err := d.registerServices(ctx); err != nil {
+		_, _ = d.rpcListener.Close(), d.httpListener.Close()
+		return err
 	}
 	ctx, d.cancel = context.WithCancel(ctx)
-	d.rpcServer.Start(ctx, rpcListener)
+	d.rpcServer.Start(ctx, d.rpcListener)
 	for _, p := range d.components() {
 		p.Start(ctx)
 	}
 	d.metrics.start(ctx, d)
 	d.tomb, _ = tomb.WithContext(ctx)
-	a := &acceptLoop{server: d.httpServer, listener: httpListener}
+	a := &acceptLoop{server: d.httpServer, listener: d.httpListener}
 	d.tomb.Go(a.run)
 	klog.Infof("runner: started, callers at %s, daemons at %s, zone %s.", d.settings.HTTP, d.settings.RPC, d.settings.Zone)
 	return nil
