server,relayer: [fix] a port that is held at the start ends the daemon, or leaves it without peers

Seen by callers: nothing serves. A successor that starts while its predecessor drains ends within 0.2 s, and once the predecessor has ended there is no process; the same while any process holds the port for clients or readiness. If the port for peers or metrics is held, the daemon serves but peers and metrics never come back.

Cause: the start tried each port once and took a passing error for a final one; relayer.join returned "done" after a failed listen.

Change: package opening opens the ports through acceptor, and waits while the error passes. The port for readiness comes first and nothing begins before it, neither reads of the store nor the member row: a predecessor holds that port to its end, so two processes of a VM never share the ports, and in-flight requests of the predecessor are not touched. Peers and metrics wait in the background. A stop ends all waits; without clients it ends at once. A process that never wrote the member row doesn't delete it: otherwise a successor that is stopped while it waits would remove that of its predecessor. An accept error no longer reaches the tomb. New lines (waiting for port, port opened, listening, accept failed, accepting again) and gauges (listeners-waiting, accept-failures). The store is probed as soon as the secret is known.

The fixture of server_test.go looked for a daemon that ended because its address was taken. Such a daemon now waits, so the fixture looks at the first line instead: listening, or waiting, for which it starts a new one.

--- a/internal/relayer/expiry_test.go
+++ b/internal/relayer/expiry_test.go
@@ -171,7 +171,7 @@
 		s := messenger.NewServer(string(secret.Value))
 		is.NoErr(s.Register("Relay", Relay{}))
 		ctx, kill := context.WithCancel(z.ctx)
-		l, err := z.network.listen("old")
+		l, err := z.network.listen(t.Context(), "old")
 		is.NoErr(err)
 		s.Start(ctx, l)
 		for _, name := range []string{"old", "replaced"} { // The address was another VM's before.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -57,7 +57,9 @@
 	// Address is this daemon's address for peers; empty disables relaying.
 	Address string
 	Dial    messenger.Dialer
-	Listen  func(address string) (net.Listener, error)
+	// Listen opens the listener for peers. It waits while the error is one that passes, and
+	// returns context.Canceled if the daemon stops meanwhile.
+	Listen func(ctx context.Context, address string) (net.Listener, error)
 }
 
 // Relayer is a storer.Table and a storer.Feed that calls the store directly, or through
@@ -83,8 +85,9 @@
 	known atomic.Pointer[string]
 	// registry is the contact with the registry of replicas.
 	registry *registry
-	// left is set once a planned stop has begun to remove the member row.
-	left atomic.Bool
+	// left is set once a planned stop has begun to remove the member row, and wrote before the
+	// row is written for the first time.
+	left, wrote atomic.Bool
 }
 
 // New returns a relayer without peers; Start begins to discover them.
@@ -147,22 +150,34 @@
 // key returns the key of this daemon's member row.
 func (x *Relayer) key() string { return storer.Prefix(x.table()) + x.options.VM }
 
-// run joins the members, then probes the store during outages.
+// run joins the members.
 func (x *Relayer) run() error {
 	ctx := x.tomb.Context(nil)
-	for backoff := probePeriod; !x.join(ctx); backoff = min(2*backoff, maxJoinBackoff) {
-		if !x.sleep(backoff/2 + rand.N(backoff)) {
-			return nil
-		}
+	var secret string
+	if !x.retry(func() (done bool) {
+		secret, done = x.readSecret(ctx)
+		return done
+	}) {
+		return nil
 	}
-	for x.sleep(probePeriod) {
-		if x.direct.OutageDuration() > 0 {
-			x.probe(ctx)
-		}
+	x.tomb.Go((&prober{relayer: x}).run)
+	if x.serve(ctx, secret) {
+		x.retry(func() bool { return x.join(ctx) })
 	}
 	return nil
 }
 
+// retry calls attempt with a backoff until it returns true. It returns false if the relayer
+// stops meanwhile.
+func (x *Relayer) retry(attempt func() bool) bool {
+	for backoff := probePeriod; !attempt(); backoff = min(2*backoff, maxJoinBackoff) {
+		if !x.sleep(backoff/2 + rand.N(backoff)) {
+			return false
+		}
+	}
+	return true
+}
+
 // sleep waits for a duration; it returns false if the relayer stops meanwhile.
 func (x *Relayer) sleep(d time.Duration) bool {
 	select {
@@ -173,50 +188,60 @@
 	}
 }
 
-// probe reads one row, so that the end of an outage is detected without other traffic.
-func (x *Relayer) probe(ctx context.Context) {
+// readSecret makes one attempt to read the secret.
+func (x *Relayer) readSecret(ctx context.Context) (string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	// The guard records the result.
-	_, _ = x.direct.Get(ctx, secretKey)
+	secret, err := x.secret(ctx)
+	if err != nil {
+		x.logger.Event("relayer", "no secret yet").Err(err).End()
+	}
+	return secret, err == nil
 }
 
-// join reads the secret, starts to serve peers, and writes the member row. It returns
-// false if it should be called again; true also after a permanent failure.
-func (x *Relayer) join(ctx context.Context) bool {
-	attemptCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	secret, err := x.secret(attemptCtx)
+// serve starts to serve peers once the listener is open. It returns false if it can't: the
+// daemon then goes on without peers.
+func (x *Relayer) serve(ctx context.Context, secret string) bool {
+	l, err := x.options.Listen(ctx, x.options.Address)
+	if errors.Is(err, context.Canceled) {
+		return false // The daemon stops.
+	}
 	if err != nil {
-		x.logger.Event("relayer", "no secret yet").Err(err).End()
+		x.logger.Event("relayer", "no listener").Err(err).End()
 		return false
 	}
-	if x.pool.Load() == nil {
-		l, err := x.options.Listen(x.options.Address)
-		if err != nil {
-			x.logger.Event("relayer", "no listener").Err(err).End()
-			return true
-		}
-		s := messenger.NewServer(secret)
-		x.services[serviceName] = x.service
-		for name, v := range x.services {
-			if err := s.Register(name, v); err != nil {
-				x.logger.Event("relayer", "no service").Str("name", name).Err(err).End()
-				return true
-			}
-		}
-		for kind, h := range x.streams {
-			s.RegisterStream(kind, h)
+	s := messenger.NewServer(secret)
+	x.services[serviceName] = x.service
+	for name, v := range x.services {
+		if err := s.Register(name, v); err != nil {
+			x.logger.Event("relayer", "no service").Str("name", name).Err(err).End()
+			_ = l.Close()
+			return false
 		}
-		s.Start(ctx, l)
-		x.pool.Store(messenger.NewPool(x.options.Dial, secret))
-		x.known.Store(&secret)
 	}
+	for kind, h := range x.streams {
+		s.RegisterStream(kind, h)
+	}
+	s.Start(ctx, l)
+	x.pool.Store(messenger.NewPool(x.options.Dial, secret))
+	x.known.Store(&secret)
+	return true
+}
+
+// join writes the member row. It returns false if it should be called again; true also after
+// a permanent failure and once a planned stop has begun.
+func (x *Relayer) join(ctx context.Context) bool {
+	attemptCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
 	value, err := x.memberValue(time.Now())
 	if err != nil {
 		x.logger.Event("relayer", "no member row").Err(err).End()
 		return true
 	}
+	x.wrote.Store(true)
+	if x.left.Load() {
+		return true
+	}
 	version, err := x.direct.Commit(attemptCtx, storer.Transaction{Writes: []storer.Write{{Key: x.key(), Value: value}}})
 	if err != nil {
 		x.logger.Event("relayer", "no member row yet").Err(err).End()
@@ -246,9 +271,13 @@
 	return created, nil
 }
 
-// Leave deletes the member row; call it on a planned stop.
+// Leave deletes the member row; call it on a planned stop. A daemon that has not written the
+// row leaves it alone, since it may be that of another process of the VM.
 func (x *Relayer) Leave(ctx context.Context) {
 	x.left.Store(true)
+	if !x.wrote.Load() {
+		return
+	}
 	if _, err := x.direct.Commit(ctx, storer.Transaction{Writes: []storer.Write{{Key: x.key(), Delete: true}}}); err != nil {
 		x.logger.Event("relayer", "member row left behind").Err(err).End()
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -99,7 +99,7 @@
 	return nil
 }
 
-func (n *network) listen(address string) (net.Listener, error) {
+func (n *network) listen(_ context.Context, address string) (net.Listener, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := &listener{conns: make(chan net.Conn), done: make(chan struct{})}
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -14,11 +14,11 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
+	"pimentorail.example/pimentorail/internal/acceptor"
 	"pimentorail.example/pimentorail/internal/archivist"
 	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/connector"
-	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/forwarder"
 	"pimentorail.example/pimentorail/internal/granter"
 	"pimentorail.example/pimentorail/internal/isolator"
@@ -111,9 +111,12 @@
 	// endings are the replicas that lately ended.
 	endings endings
 	// cutOffSince is when this daemon was found to reach no replica itself, zero if it does.
-	cutOffSince  time.Time
-	forwarder    *forwarder.Forwarder
-	stopping     atomic.Bool
+	cutOffSince time.Time
+	forwarder   *forwarder.Forwarder
+	stopping    atomic.Bool
+	acceptor    *acceptor.Acceptor
+	// listening is set once clients can connect.
+	listening    atomic.Bool
 	clientServer *http.Server
 	readyServer  *http.Server
 	// metricsServer is nil without an address for metrics.
@@ -149,9 +152,10 @@
 	d.logger = logger.Start(ctx, o.Output)
 	d.outageLog = newOutageLog(d.logger)
 	d.tracker = tracker.New(tracker.Options{OutageGrace: outageGrace})
+	d.acceptor = acceptor.New(ctx, listen, listenLog{d.logger})
 	d.store = newGuard(p.Table, p.Feed)
 	d.relayer = relayer.New(d.store, d.logger, relayer.Options{
-		VM: o.VM, Process: o.Name, Zone: o.Zone, OtherZones: o.OtherZones, Address: o.PeerAddress, Dial: dialPeer, Listen: listen,
+		VM: o.VM, Process: o.Name, Zone: o.Zone, OtherZones: o.OtherZones, Address: o.PeerAddress, Dial: dialPeer, Listen: d.listenForPeers,
 	})
 	d.turns = archivist.New(d.relayer, archivist.Options{RowBytes: o.RowBytes, CacheBytes: int(o.MemoryBytes / turnsCacheDivisor), HistoryBytes: int(o.MemoryBytes / historiesDivisor)})
 	d.budgets = budgeter.Start(ctx, d.relayer, o.Name)
@@ -184,37 +188,20 @@
 	})
 }
 
+// start begins to open the daemon's listeners; the daemon starts with the first of them.
 func (d *Daemon) start(runCtx context.Context) error {
 	d.tomb, _ = tomb.WithContext(runCtx)
-	ctx := d.tomb.Context(nil)
 	d.logger.Event("server", "start").Str("name", d.options.Name).Str("zone", d.options.Zone).Str("front", d.options.ClientAddress).End()
-	d.relayer.Start(runCtx)
-	follower.Start(ctx, d.relayer, &configSink{
-		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, logger: d.logger, outageLog: d.outageLog,
-	}, configOptions(d.platform.CatalogTable))
-	registry := &timedFeed{Feed: d.relayer}
-	follower.Start(ctx, registry, &registrySink{
-		tracker: d.tracker, feed: registry, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog, peers: d.relayer,
-	}, registryOptions(d.platform.ReplicaTable))
-	follower.Start(ctx, d.relayer, d.isolator, crashOptions())
 	d.clientServer = d.newServer(d.closeWhenStopping(d.platform.Ingress(d.forwarder, d.catalog)))
 	d.readyServer = d.newServer(d.readyHandler())
-	if err := d.serve(d.clientServer, d.options.ClientAddress); err != nil {
-		return err
-	}
-	if err := d.serve(d.readyServer, d.options.ReadyAddress); err != nil {
-		return err
-	}
 	if d.options.MetricsAddress != "" {
 		d.metricsServer = d.newServer(d.metrics.Handler())
-		if err := d.serve(d.metricsServer, d.options.MetricsAddress); err != nil {
-			d.logger.Event("server", "no metrics").Err(err).End()
-		}
 	}
+	d.tomb.Go(d.run)
 	if d.options.Reload != nil {
 		d.tomb.Go((&reloader{daemon: d}).run)
 	}
-	d.tomb.Go(d.run)
+	d.tomb.Go((&opening{daemon: d, lifetime: runCtx}).run)
 	return nil
 }
 
@@ -225,37 +212,6 @@
 	}
 }
 
-// acceptLoop runs an HTTP server on one listener.
-type acceptLoop struct {
-	server   *http.Server
-	listener net.Listener
-}
-
-func (a *acceptLoop) run() error {
-	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve")
-	}
-	return nil
-}
-
-func (d *Daemon) serve(s *http.Server, address string) error {
-	l, err := listen(address)
-	if err != nil {
-		return err
-	}
-	a := &acceptLoop{server: s, listener: l}
-	d.tomb.Go(a.run)
-	return nil
-}
-
-// listen opens a listener whose connections close if the peer does not acknowledge sent
-// bytes.
-func listen(address string) (net.Listener, error) {
-	c := net.ListenConfig{KeepAlive: -1, Control: connector.UserTimeoutControl(clientUserTimeout)}
-	l, err := c.Listen(context.Background(), "tcp", address)
-	return l, errors.Wrapf(err, "listen on %s", address)
-}
-
 // dialPeer connects to another daemon, with short timeouts for an unresponsive one.
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1, Control: connector.UserTimeoutControl(peerUserTimeout)}
@@ -288,7 +244,7 @@
 
 // isReady reports whether the balancer should send new clients to this daemon.
 func (d *Daemon) isReady() bool {
-	return !d.stopping.Load() && d.catalog.Current() != nil && d.tracker.Len() > 0 && (d.store.OutageDuration() < unreadyAfter || d.relayer.StoreReachable())
+	return !d.stopping.Load() && d.listening.Load() && d.catalog.Current() != nil && d.tracker.Len() > 0 && (d.store.OutageDuration() < unreadyAfter || d.relayer.StoreReachable())
 }
 
 // run periodically evicts idle entries, updates the gauges and logs the counts.
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -16,6 +16,8 @@
 	s.Gauge("requests-suspect").Update(float64(suspects))
 	s.Gauge("requests-condemned").Update(float64(condemned))
 	s.Gauge("store-away-seconds").Update(d.store.OutageDuration().Seconds())
+	s.Gauge("listeners-waiting").Update(float64(d.acceptor.Waiting()))
+	s.Gauge("accept-failures").Update(float64(d.acceptor.Failures()))
 	s.Gauge("log-lines-dropped").Update(float64(d.logger.Dropped()))
 	c := d.forwarder.Connections()
 	s.Gauge("connections-dialed").Update(float64(c.Dialed))
--- /dev/null
+++ b/internal/server/opening.go
@@ -0,0 +1,114 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/connector"
+	"pimentorail.example/pimentorail/internal/follower"
+)
+
+// opening opens the daemon's listeners, each as soon as its port is free.
+//
+// The port for readiness comes first, and nothing else begins before it: a predecessor that
+// drains holds that port until its end, and of several successors only one has it. So two
+// processes of a VM never share its ports or write the same member row.
+type opening struct {
+	daemon *Daemon
+	// lifetime ends after a planned stop, which the daemon's calls to peers outlast.
+	lifetime context.Context
+}
+
+func (o *opening) run() error {
+	d := o.daemon
+	began := time.Now()
+	ctx := d.tomb.Context(nil)
+	ready, err := d.acceptor.Open(ctx, "readiness", d.options.ReadyAddress)
+	if err != nil {
+		return openingError(err)
+	}
+	d.tomb.Go((&acceptLoop{server: d.readyServer, listener: ready}).run)
+	o.follow(ctx)
+	if d.metricsServer != nil {
+		d.tomb.Go((&metricsOpening{daemon: d}).run)
+	}
+	clients, err := d.acceptor.Open(ctx, "clients", d.options.ClientAddress)
+	if err != nil {
+		return openingError(err)
+	}
+	d.tomb.Go((&acceptLoop{server: d.clientServer, listener: clients}).run)
+	d.listening.Store(true)
+	d.logger.Event("server", "listening").Dur("took", time.Since(began)).End()
+	return nil
+}
+
+// openingError returns an error of Open, nil for the end of a wait by a stop.
+func openingError(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// follow joins the daemon's peers and begins to follow the tables of the platform.
+func (o *opening) follow(ctx context.Context) {
+	d := o.daemon
+	d.relayer.Start(o.lifetime)
+	follower.Start(ctx, d.relayer, &configSink{
+		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, logger: d.logger, outageLog: d.outageLog,
+	}, configOptions(d.platform.CatalogTable))
+	registry := &timedFeed{Feed: d.relayer}
+	follower.Start(ctx, registry, &registrySink{
+		tracker: d.tracker, feed: registry, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog, peers: d.relayer,
+	}, registryOptions(d.platform.ReplicaTable))
+	follower.Start(ctx, d.relayer, d.isolator, crashOptions())
+}
+
+// metricsOpening opens the listener for metrics. A daemon serves clients without it.
+type metricsOpening struct{ daemon *Daemon }
+
+func (m *metricsOpening) run() error {
+	d := m.daemon
+	l, err := d.acceptor.Open(d.tomb.Context(nil), "metrics", d.options.MetricsAddress)
+	if err == nil {
+		return (&acceptLoop{server: d.metricsServer, listener: l}).run()
+	}
+	if err = openingError(err); err != nil {
+		d.logger.Event("server", "no metrics").Err(err).End()
+	}
+	return nil
+}
+
+// acceptLoop runs an HTTP server on one listener.
+type acceptLoop struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (a *acceptLoop) run() error {
+	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// listen opens a listener whose connections close if the peer does not acknowledge sent
+// bytes.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	c := net.ListenConfig{KeepAlive: -1, Control: connector.UserTimeoutControl(clientUserTimeout)}
+	l, err := c.Listen(ctx, "tcp", address)
+	return l, errors.Wrapf(err, "listen on %s", address)
+}
+
+// listenForPeers opens the listener for other daemons as soon as its port is free.
+func (d *Daemon) listenForPeers(ctx context.Context, address string) (net.Listener, error) {
+	l, err := d.acceptor.Open(ctx, "peers", address)
+	if err != nil {
+		return nil, err // A nil *Listener would be a net.Listener that is not nil.
+	}
+	return l, nil
+}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -73,6 +73,7 @@
 	ready  string
 	cancel context.CancelFunc
 	ended  chan error
+	lines  *lineFinder
 	once   sync.Once
 }
 
@@ -86,25 +87,27 @@
 }
 
 // startDaemon returns a daemon that listens. Another process or replica may take a free
-// address before the daemon listens there; the daemon then ends at once, and a new one is
+// address before the daemon listens there, for which the daemon then waits; a new one is
 // started on other addresses.
 func startDaemon(t *testing.T) *daemon {
 	t.Helper()
 	for {
-		if d := launchDaemon(t); d.waitUntilListening() {
+		d := launchDaemon(t)
+		if d.waitUntilListening() {
 			t.Cleanup(func() { _ = d.stop() })
 			return d
 		}
+		_ = d.stop()
 	}
 }
 
 func launchDaemon(t *testing.T) *daemon {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &daemon{t: t, store: emulator.NewStore(), front: freeAddress(t), ready: freeAddress(t), cancel: cancel, ended: make(chan error, 1)}
+	d := &daemon{t: t, store: emulator.NewStore(), front: freeAddress(t), ready: freeAddress(t), cancel: cancel, ended: make(chan error, 1), lines: &lineFinder{found: make(chan string, 1)}}
 	o := server.Options{
 		Name: "d-1", VM: "d", Zone: "z", Zones: 1, ClientAddress: d.front, ReadyAddress: d.ready, MetricsAddress: freeAddress(t), ReadyPath: "/ready",
-		Grace: 3 * time.Second, RowBytes: 1000, MemoryBytes: 64 << 20, Output: io.Discard,
+		Grace: 3 * time.Second, RowBytes: 1000, MemoryBytes: 64 << 20, Output: d.lines,
 	}
 	p := server.Platform{
 		Table: d.store, Feed: d.store, Codec: plainCodec{}, CatalogTable: "config", CatalogKey: "all", DecodeCatalog: decodeCatalog,
@@ -115,18 +118,17 @@
 	return d
 }
 
-// waitUntilListening returns false if the daemon ended before it listened.
+// waitUntilListening returns false if the daemon ended before it listened, or waits for an
+// address that another process took.
 func (d *daemon) waitUntilListening() bool {
-	for {
-		select {
-		case err := <-d.ended:
-			d.t.Logf("the daemon did not start: %v", err)
-			return false
-		case <-time.After(10 * time.Millisecond):
-		}
-		if status, _ := get("http://" + d.ready + "/ready"); status == http.StatusServiceUnavailable {
-			return true
-		}
+	select {
+	case err := <-d.ended:
+		d.t.Logf("the daemon did not start: %v", err)
+		d.ended <- err
+		return false
+	case line := <-d.lines.found:
+		d.t.Log(line)
+		return strings.Contains(line, listeningLine)
 	}
 }
 
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -24,12 +24,13 @@
 	began := time.Now()
 	endsAt := began.Add(d.options.Grace - exitMargin)
 	d.stopping.Store(true)
+	d.acceptor.Stop()
 	d.programs.Leave()
 	d.placements.Leave()
 	d.tunnelService.Leave()
 	d.forwarder.Shutdown(began.Add(min(acceptTime, d.options.Grace*2/5)), endsAt)
 	d.logger.Event("server", "stop").Int("active", d.forwarder.Active()).End()
-	if d.tomb.Alive() {
+	if d.tomb.Alive() && d.listening.Load() {
 		time.Sleep(min(shutdownDelay, d.options.Grace/2))
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
