--- a/cmd/pimentorail/docs_test.go
+++ b/cmd/pimentorail/docs_test.go
@@ -12,6 +12,7 @@
 
 	"pimentorail.example/pimentorail/internal/validator"
 	"pimentorail.example/pimentorail/pkg/classifier"
+	"pimentorail.example/pimentorail/platform"
 )
 
 // TestCommandsInTheDocs checks that the commands and flags in the documentation exist.
@@ -83,6 +84,7 @@
 	is.Equal(exitCode(errors.New("x")), exitFailure)
 	is.Equal(exitCode(errors.Wrap(errBrokenPromises, "x")), exitBrokenPromises)
 	is.Equal(exitCode(validator.Faults{{}}), exitInvalid)
+	is.Equal(exitCode(errors.Wrap(&platform.SettingsError{}, "x")), exitSettings)
 	is.Equal(exitCode(fault(classifier.ConfigConflict)), exitConflict)
 	is.Equal(exitCode(fault(classifier.ConfigNotInForce)), exitNotInForce)
 }
--- a/cmd/pimentorail/main.go
+++ b/cmd/pimentorail/main.go
@@ -14,6 +14,7 @@
 
 	"pimentorail.example/pimentorail/internal/validator"
 	"pimentorail.example/pimentorail/pkg/classifier"
+	"pimentorail.example/pimentorail/platform"
 )
 
 // Exit codes, as documented in docs/ERRORS.md.
@@ -24,6 +25,7 @@
 	exitConflict       = 4
 	exitNotInForce     = 5
 	exitBrokenPromises = 6
+	exitSettings       = 7
 )
 
 var errBrokenPromises = errors.New("the report lists broken promises")
@@ -93,7 +95,10 @@
 func exitCode(err error) int {
 	var faults validator.Faults
 	var f *classifier.Fault
+	var settings *platform.SettingsError
 	switch {
+	case errors.As(err, &settings):
+		return exitSettings
 	case errors.Is(err, errBrokenPromises):
 		return exitBrokenPromises
 	case errors.As(err, &faults):
