messenger: [fix] a method or stream handler that panics fails its call only

net/rpc runs each method in a goroutine of its own without a recover, and a stream's handler runs in a goroutine of the server's tomb: a panic in either, on what one peer sent, ended the daemon with all its requests.

TestMethodThatPanicsFailsItsCallOnly: panic: assignment to entry in nil map TestStreamHandlerThatPanicsClosesItsConnectionOnly: panic: odd header

--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -10,6 +10,8 @@
 
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // StreamHandler serves a connection that a peer opened with Pool.OpenStream. The connection is
@@ -48,7 +50,7 @@
 func (s *Server) Start(ctx context.Context, l net.Listener) {
 	s.ln = l
 	s.tomb, _ = tomb.WithContext(ctx)
-	s.tomb.Go(s.run)
+	s.tomb.Go(supervisor.Loop(s.tomb, "messenger: accept", s.run))
 	s.tomb.Go(s.loop)
 }
 
@@ -63,7 +65,7 @@
 			return nil
 		}
 		peer := &session{server: s, conn: c}
-		s.tomb.Go(peer.run)
+		s.tomb.Go(supervisor.Task("messenger: connection of a peer", peer.run))
 	}
 }
 
@@ -88,7 +90,7 @@
 		return
 	}
 	if kind == rpcKind {
-		s.rpc.ServeConn(c)
+		newRPCSession(s.rpc, c).run()
 		return
 	}
 	s.streams[kind].ServeStream(c)
@@ -100,13 +102,18 @@
 	conn   net.Conn
 }
 
+// forget removes the connection from those of the server.
+func (s *session) forget() {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	delete(s.server.conns, s.conn)
+}
+
 func (s *session) run() error {
 	s.server.mu.Lock()
 	s.server.conns[s.conn] = true
 	s.server.mu.Unlock()
+	defer s.forget()
 	s.server.ServeConn(s.conn)
-	s.server.mu.Lock()
-	delete(s.server.conns, s.conn)
-	s.server.mu.Unlock()
 	return nil
 }
