follower: [fix] a sink that panics is called again with the whole table

A panic in a decoder, or in what a sink does with a row, ended the daemon: sinks run in the follower's goroutine.

TestTableIsListedAgainAfterAPanicOfTheSink: panic: odd row

The loop is supervised, and the table counts as not listed while the sink applies rows, so that it is listed again after a panic: the version had moved on, and the changes at which the sink panicked would have been missing.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -8,6 +8,7 @@
 	"gopkg.in/tomb.v2"
 
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // Sink receives the contents of a table from a Follower, which calls all methods from one
@@ -55,7 +56,7 @@
 func Start(ctx context.Context, feed storer.Feed, sink Sink, o Options) *Follower {
 	f := &Follower{feed: feed, sink: sink, options: o}
 	f.tomb, _ = tomb.WithContext(ctx)
-	f.tomb.Go(f.run)
+	f.tomb.Go(supervisor.Loop(f.tomb, "follower: "+o.Table, f.run))
 	return f
 }
 
@@ -119,7 +120,10 @@
 		f.reportTransition(nil)
 	}
 	f.version = max(f.version, version)
+	// After a panic of the sink, the table is listed again.
+	f.listed = false
 	f.sink.Update(changes, f.version)
+	f.listed = true
 	return nil
 }
 
@@ -135,10 +139,12 @@
 	if f.failing {
 		f.reportTransition(nil)
 	}
-	f.listed, f.version = true, version
-	if f.verifyDue() {
+	verified := f.verifyDue()
+	f.listed, f.version = false, version
+	f.sink.Replace(rows, version)
+	f.listed = true
+	if verified {
 		f.verifyAt = time.Time{}
 	}
-	f.sink.Replace(rows, version)
 	return nil
 }
