archivist,storer: [fix] an odd turn row, or a reply that panics, is an error

The header line of a turn's row names the number of its further rows. With a number below zero or a huge one, make() panicked, in a goroutine of its own for ancestors that are read ahead and for turns with a budget, and in one of net/rpc at the coordinator: one row ended the daemon, its coordinator, and each daemon that the client tried next. 10^9 rows took 24 GB.

Counts and sizes in the header are checked, and ancestors beyond those that are read ahead are dropped. Reads in goroutines return a panic as their error. The store's guard, through which all calls of the daemon go, makes the panic of a call an error that leaves the outcome open, as a lost reply does.

--- a/internal/archivist/archivist.go
+++ b/internal/archivist/archivist.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -179,7 +180,7 @@
 
 func (f *prefetch) run(ctx context.Context, id string) {
 	defer f.group.Done()
-	n, err := f.archivist.readTurn(ctx, f.lease, id)
+	n, err := f.read(ctx, id)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
@@ -189,6 +190,11 @@
 	f.nodes = append(f.nodes, n)
 }
 
+func (f *prefetch) read(ctx context.Context, id string) (n *node, err error) {
+	defer supervisor.Return("archivist: read of a turn", &err)
+	return f.archivist.readTurn(ctx, f.lease, id)
+}
+
 // readTurn reads a turn from the store and caches it.
 func (a *Archivist) readTurn(ctx context.Context, l *lease, id string) (*node, error) {
 	a.misses.Add(1)
--- a/internal/archivist/rowsread.go
+++ b/internal/archivist/rowsread.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // maxRowReads bounds the rows of one turn that are read at a time.
@@ -36,6 +39,11 @@
 	return r.values, r.err
 }
 
+func (r *rowsRead) read(ctx context.Context, i int) (row storer.Row, err error) {
+	defer supervisor.Return("archivist: read of a row", &err)
+	return r.archivist.table.Get(ctx, r.header.rowKey(r.id, i))
+}
+
 // run reads rows until all are read or one is not.
 func (r *rowsRead) run(ctx context.Context) {
 	defer r.group.Done()
@@ -44,7 +52,7 @@
 		if i > r.header.More {
 			return
 		}
-		row, err := r.archivist.table.Get(ctx, r.header.rowKey(r.id, i))
+		row, err := r.read(ctx, i)
 		if err == nil && row.Version == 0 {
 			err = errors.Errorf("row %d of turn %q is missing", i, r.id)
 		}
--- a/internal/archivist/turn.go
+++ b/internal/archivist/turn.go
@@ -15,6 +15,9 @@
 	// headerReserveBytes is left in a first row for the newline and for rowHeader.More, which
 	// is not set yet when the size of the header is measured.
 	headerReserveBytes = 32
+	// maxMore bounds the additional rows of a turn. One of MaxTurnBytes has that many if a row
+	// takes 256 bytes.
+	maxMore = MaxTurnBytes / 256
 	// headerShare is the inverse of the part of a row that the header may take. Long ids of
 	// ancestors are left out beyond it, apart from the parent's.
 	headerShare = 2
@@ -115,5 +118,10 @@
 	if err := json.Unmarshal(line, &header); err != nil {
 		return nil, nil, errors.Wrapf(err, "decode header of turn %q", id)
 	}
+	if header.More < 0 || header.More > maxMore || header.Bytes < 0 || header.Bytes > MaxTurnBytes {
+		return nil, nil, errors.Errorf("header of turn %q names %d rows and %d bytes", id, header.More, header.Bytes)
+	}
+	// Each ancestor is read ahead in a goroutine of its own.
+	header.Ancestors = header.Ancestors[:min(len(header.Ancestors), maxAncestors)]
 	return &node{id: id, ancestors: header.Ancestors, text: text}, &header, nil
 }
--- a/internal/storer/guard.go
+++ b/internal/storer/guard.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // Limits are the timeouts and intervals of a Guard.
@@ -215,7 +217,7 @@
 	attemptCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	start := time.Now()
-	v, err := call(attemptCtx)
+	v, err := protect(attemptCtx, call)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = errors.Wrap(ErrUnavailable, "no reply within the timeout")
 	}
@@ -226,6 +228,12 @@
 	return v, err
 }
 
+// protect makes one call. A panic is an error that leaves the outcome open.
+func protect[T any](ctx context.Context, call func(ctx context.Context) (T, error)) (v T, err error) {
+	defer supervisor.Return("storer: call of the store", &err)
+	return call(ctx)
+}
+
 // retry repeats a call until it succeeds, fails for another reason than the store's
 // availability, the context ends, or an outage is detected.
 func retry[T any](ctx context.Context, g *Guard, key string, call func(ctx context.Context) (T, error)) (T, error) {
