granter: [fix] a panic ends its turn, call or round only

The read of a history, the calls that return tokens or close a grant and the rounds of recalls run in goroutines of their own; a panic in one ended the daemon.

TestHistoryWhoseReadingPanicsFailsItsTurnOnly: panic: odd reply

Each reports its panic, and what others wait for (the history, the result of a call, the end of a round) is completed by a deferred call. A round that panicked counts as one that may have changed the row, like one whose replies are missing. The loop that expires grants is supervised.

--- a/internal/granter/grant.go
+++ b/internal/granter/grant.go
@@ -6,6 +6,7 @@
 
 	"pimentorail.example/pimentorail/internal/archivist"
 	"pimentorail.example/pimentorail/internal/assigner"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -78,6 +79,7 @@
 func (c *closeCall) run() {
 	s := c.granter
 	defer s.pendingCloses.Done()
+	defer supervisor.Recover("granter: close of a grant")
 	backoff := closeBackoff
 	for attempt := 1; ; attempt++ {
 		ctx, cancel := context.WithTimeout(s.tomb.Context(nil), closeTimeout)
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -16,6 +16,7 @@
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/messenger"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -81,7 +82,7 @@
 	s := &Granter{options: o, turns: turns, budgets: budgets, peers: peers, coordinators: assigner.New(o.VM, peers), logger: r}
 	s.tomb, _ = tomb.WithContext(ctx)
 	s.recalls.peers, s.recalls.elsewhere, s.recalls.tomb = peers, o.Elsewhere, s.tomb
-	s.tomb.Go(s.run)
+	s.tomb.Go(supervisor.Loop(s.tomb, "granter: expiry", s.run))
 	return s
 }
 
@@ -112,8 +113,9 @@
 }
 
 func (w *drainWaiter) run() {
+	defer close(w.done)
+	defer supervisor.Recover("granter: drain")
 	w.granter.pendingCloses.Wait()
-	close(w.done)
 }
 
 // run counts the tokens of grants that were not closed in time as spent.
@@ -213,6 +215,7 @@
 
 func (h *historyRead) run(ctx context.Context) {
 	defer close(h.done)
+	defer supervisor.Return("granter: read of a history", &h.err)
 	h.chain, h.err = h.turns.Chain(ctx, h.parent)
 }
 
--- a/internal/granter/recaller.go
+++ b/internal/granter/recaller.go
@@ -11,6 +11,7 @@
 	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/messenger"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -95,6 +96,15 @@
 }
 
 func (c *recall) run() {
+	// A holder whose reply is missing may have returned tokens.
+	changed := true
+	defer func() { c.recaller.end(c.round, changed) }()
+	defer supervisor.Recover("granter: recall of tokens")
+	changed = c.collect()
+}
+
+// collect asks the holders, and reports whether the program's row may have changed.
+func (c *recall) collect() bool {
 	ctx, cancel := context.WithTimeout(c.recaller.tomb.Context(nil), recallTimeout)
 	defer cancel()
 	results := make(chan bool, maxRecalled)
@@ -110,12 +120,10 @@
 		case r := <-results:
 			changed = changed || r
 		case <-ctx.Done():
-			// A holder whose reply is missing may have returned tokens.
-			c.recaller.end(c.round, true)
-			return
+			return true
 		}
 	}
-	c.recaller.end(c.round, changed)
+	return changed
 }
 
 // ask calls the peers that run processes of the round, and returns their number. A process
@@ -142,9 +150,12 @@
 }
 
 func (c *returnCall) run(ctx context.Context) {
+	changed := true
+	defer func() { c.result <- changed }()
+	defer supervisor.Recover("granter: return call")
 	deadline, _ := ctx.Deadline()
 	var reply ReturnReply
 	q := ReturnRequest{Program: c.recall.program, Left: time.Until(deadline) - replyMargin}
 	err := c.recall.recaller.peers.Call(ctx, c.holder.Address, returnMethod, q, &reply)
-	c.result <- reply.Changed || err != nil && !errors.Is(err, messenger.ErrNotSent)
+	changed = reply.Changed || err != nil && !errors.Is(err, messenger.ErrNotSent)
 }
