connector: [fix] a panic ends its dial or request only, and frees the connection

Dials, probes, link checks and the writes of bodies run in goroutines of their own, where a panic, of a detour for example, ended the daemon. A panic in a function of the call (Matches, Identify) was recovered by net/http, but the connection stayed open and counted against the replica's limit for good; one under the pool's lock would have kept that.

Attempts return a panic as their error, so that the call goes on at once; the connection is returned by a deferred call; the pool's lock as well.

--- a/internal/connector/check.go
+++ b/internal/connector/check.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -22,6 +24,7 @@
 }
 
 func (k *linkCheck) run() {
+	defer supervisor.Recover("connector: check of a link")
 	c, now := k.connector, time.Now()
 	if !c.beginCheck(k.call, now) {
 		return
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -123,16 +123,7 @@
 		maxIdle = maxFreshIdle
 	}
 	detoured := q.Detour != nil && c.paths.cut(q.Instance, now)
-	c.mu.Lock()
-	p := c.pool(q.Instance)
-	p.lastUsed = now
-	x, stale := p.take(now, maxIdle, detoured, q.Process)
-	p.open -= len(stale)
-	full := x == nil && q.Limit > 0 && p.open >= q.Limit
-	if x == nil && !full {
-		p.open++
-	}
-	c.mu.Unlock()
+	p, x, stale, full := c.take(q, now, maxIdle, detoured)
 	for _, s := range stale {
 		if s.brokenOff && !s.detoured {
 			c.sawEnd(q.Instance)
@@ -158,6 +149,21 @@
 	return x, nil
 }
 
+// take returns an idle connection, or counts one that is to be opened unless the pool is full.
+func (c *Connector) take(q *Call, now time.Time, maxIdle time.Duration, detoured bool) (p *pool, x *conn, stale []*conn, full bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p = c.pool(q.Instance)
+	p.lastUsed = now
+	x, stale = p.take(now, maxIdle, detoured, q.Process)
+	p.open -= len(stale)
+	full = x == nil && q.Limit > 0 && p.open >= q.Limit
+	if x == nil && !full {
+		p.open++
+	}
+	return p, x, stale, full
+}
+
 // pool returns the pool of an instance, and creates it on first use. The caller holds the
 // lock.
 func (c *Connector) pool(instance string) *pool {
--- a/internal/connector/dial.go
+++ b/internal/connector/dial.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // detourDelay is how long a direct attempt may take before a peer is asked as well. Within a
@@ -118,22 +120,29 @@
 // run dials the replica. A connection that comes too late for the call is kept for the next
 // one: it shows that the link works.
 func (d directDial) run() {
-	c := d.connector
-	c.dialed.Add(1)
-	n, err := c.dialer.Dial("tcp", d.call.Address)
-	c.sawDial(d.call.Instance, err)
-	if err == nil {
-		c.paths.reached(d.call.Instance, time.Now())
-	}
+	defer supervisor.Recover("connector: dial")
+	n, err := d.dial()
 	select {
 	case d.direct <- dialResult{n, err}:
 	case <-d.done:
 		if err == nil {
-			c.adopt(d.call, newConn(n, false))
+			d.connector.adopt(d.call, newConn(n, false))
 		}
 	}
 }
 
+func (d directDial) dial() (n net.Conn, err error) {
+	defer supervisor.Return("connector: dial", &err)
+	c := d.connector
+	c.dialed.Add(1)
+	n, err = c.dialer.Dial("tcp", d.call.Address)
+	c.sawDial(d.call.Instance, err)
+	if err == nil {
+		c.paths.reached(d.call.Instance, time.Now())
+	}
+	return n, err
+}
+
 // probe dials a replica whose requests are served through a peer, and keeps the connection.
 type probe struct {
 	connector *Connector
@@ -141,6 +150,7 @@
 }
 
 func (p *probe) run() {
+	defer supervisor.Recover("connector: probe")
 	c := p.connector
 	c.dialed.Add(1)
 	if n, err := c.dialer.Dial("tcp", p.call.Address); err == nil {
@@ -153,7 +163,8 @@
 type detourDial struct{ *dialing }
 
 func (d detourDial) run(ctx context.Context) {
-	n, err := d.call.Detour(ctx)
+	defer supervisor.Recover("connector: detour")
+	n, err := d.dial(ctx)
 	select {
 	case d.detour <- dialResult{n, err}:
 	case <-d.done:
@@ -163,6 +174,11 @@
 	}
 }
 
+func (d detourDial) dial(ctx context.Context) (n net.Conn, err error) {
+	defer supervisor.Return("connector: detour", &err)
+	return d.call.Detour(ctx)
+}
+
 // adopt puts a new connection that no call waits for into its pool, unless that is full.
 func (c *Connector) adopt(q *Call, x *conn) {
 	c.mu.Lock()
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -48,13 +50,19 @@
 	if err != nil {
 		return nil, &Error{Cause: err}
 	}
-	if x, err = c.ensureProcess(ctx, q, x); err != nil {
+	if x, err = c.identifyProcess(ctx, q, x); err != nil {
 		c.failed.Add(1)
 		return nil, &Error{Cause: err}
 	}
 	e := c.newExchange(ctx, q, x, q.Deadline)
+	received := false
+	defer func() {
+		// Also if a function of the call panics.
+		if !received {
+			e.Close()
+		}
+	}()
 	if err := ctx.Err(); err != nil {
-		e.Close()
 		return nil, &Error{Cause: err}
 	}
 	sent, err := e.send(q)
@@ -66,9 +74,9 @@
 	if err != nil {
 		c.failed.Add(1)
 		_ = e.observe(err)
-		e.Close()
 		return nil, &Error{Sent: sent, Cause: err}
 	}
+	received = true
 	return e, nil
 }
 
@@ -133,13 +141,16 @@
 }
 
 func (w *bodyWriter) run() {
+	w.exchange.written <- supervisor.Do("connector: write of a body", w.write)
+}
+
+func (w *bodyWriter) write() error {
 	for _, b := range w.body {
 		if _, err := w.exchange.conn.Write(b); err != nil {
-			w.exchange.written <- err
-			return
+			return err
 		}
 	}
-	w.exchange.written <- nil
+	return nil
 }
 
 // receive reads the head of the response. It skips informational responses and responses
--- a/internal/connector/process.go
+++ b/internal/connector/process.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -88,6 +90,20 @@
 	return x, nil
 }
 
+// identifyProcess is ensureProcess for a Process whose functions may panic: the connection is
+// closed then.
+func (c *Connector) identifyProcess(ctx context.Context, q *Call, x *conn) (owned *conn, err error) {
+	panicked := true
+	defer func() {
+		if panicked {
+			c.put(q.Instance, x, q.Limit, false)
+		}
+	}()
+	owned, err = c.ensureProcess(ctx, q, x)
+	panicked = false
+	return owned, err
+}
+
 // identify asks a replica for its report, and reports whether the connection can be used after
 // that.
 func (c *Connector) identify(ctx context.Context, q *Call, x *conn) (identity Identity, reusable bool, err error) {
@@ -131,6 +147,7 @@
 func (c *Connector) ObserveEnds(f func(instance string)) { c.onEnd = f }
 
 func (c *Connector) sawEnd(instance string) {
+	defer supervisor.Recover("connector: end of a replica")
 	if c.onEnd != nil {
 		c.onEnd(instance)
 	}
