isolator: [fix] a panic ends its check, row or write only

The check of a replica runs in a goroutine of its own, and its writes in a loop of the tomb; a panic in either ended the daemon.

TestCheckThatPanicsIsOver: panic: odd address TestRowsAreWrittenAfterAPanic: panic: odd reply

A check that panics counts as not crashed and is no longer pending, so that no request waits for it. The loop starts again and writes the rows that are left. The decoder of rows is isolated row by row, and names the key. Locks around judgments are released by defer.

--- a/internal/isolator/broken.go
+++ b/internal/isolator/broken.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -33,6 +35,7 @@
 // run records a crash if the instance has ended, and otherwise forgets the requests: their
 // connections broke, not the replica.
 func (b *brokenOff) run() {
+	defer supervisor.Recover("isolator: check of a replica")
 	i := b.isolator
 	ctx := i.tomb.Context(nil)
 	select {
@@ -43,6 +46,8 @@
 	crashed := i.crashed(ctx, b.address)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	// Requests wait until the instance is no longer pending.
+	defer delete(i.pending, b.instance)
 	i.logger.Event("isolator", "requests broke off").Str("instance", b.instance).Int("suspects", len(b.suspects)).Bool("crashed", crashed).End()
 	if crashed {
 		i.recordLocked(b, time.Now())
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -11,6 +11,7 @@
 
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -79,7 +80,7 @@
 		records: map[string]record{}, pending: map[string]*brokenOff{}, own: map[string]*brokenOff{}, unwritten: map[string]row{}, trials: map[Fingerprint]trial{},
 	}
 	i.tomb, _ = tomb.WithContext(ctx)
-	i.tomb.Go(i.run)
+	i.tomb.Go(supervisor.Loop(i.tomb, "isolator: rows", i.run))
 	return i
 }
 
@@ -199,6 +200,7 @@
 
 // crashed checks whether the process at an address has ended.
 func (i *Isolator) crashed(ctx context.Context, address string) bool {
+	defer supervisor.Recover("isolator: check of a replica")
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	return i.options.Crashed(ctx, address)
--- a/internal/isolator/rows.go
+++ b/internal/isolator/rows.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -71,9 +72,13 @@
 
 // putLocked adds the record of a row.
 func (i *Isolator) putLocked(r storer.Row, now time.Time) {
-	v, err := decodeRow(r)
+	var v row
+	err := supervisor.Do("isolator: decoder of rows", func() (err error) {
+		v, err = decodeRow(r)
+		return err
+	})
 	if err != nil {
-		i.logger.Event("isolator", "row ignored").Err(err).End()
+		i.logger.Event("isolator", "row ignored").Str("key", r.Key).Err(err).End()
 		return
 	}
 	i.addLocked(r.Name(), v, r.Version, now)
@@ -126,7 +131,7 @@
 func (i *Isolator) run() error {
 	maintenance := time.NewTicker(maintainEvery)
 	defer maintenance.Stop()
-	var retry <-chan time.Time
+	retry := time.After(writeBackoff) // The rows that a panic left.
 	for {
 		select {
 		case <-i.wake:
@@ -181,8 +186,22 @@
 
 // expire forgets old crashes and removes their rows.
 func (i *Isolator) expire(now time.Time) {
-	var tx storer.Transaction
+	tx := i.forgetOld(now)
+	if len(tx.Writes) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(i.tomb.Context(nil), writeTimeout)
+	defer cancel()
+	if _, err := i.table.Commit(ctx, tx); err != nil {
+		// Another daemon removes them, or the next start of one.
+		i.logger.Event("isolator", "rows not removed").Int("rows", len(tx.Writes)).Err(err).End()
+	}
+}
+
+// forgetOld forgets old crashes and returns the removal of their rows.
+func (i *Isolator) forgetOld(now time.Time) (tx storer.Transaction) {
 	i.mu.Lock()
+	defer i.mu.Unlock()
 	i.judgeLocked(now)
 	i.reportServedLocked(now)
 	i.expireTrialsLocked(now)
@@ -196,16 +215,7 @@
 			tx.Writes = append(tx.Writes, storer.Write{Key: storer.Prefix(Table) + name, Delete: true})
 		}
 	}
-	i.mu.Unlock()
-	if len(tx.Writes) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(i.tomb.Context(nil), writeTimeout)
-	defer cancel()
-	if _, err := i.table.Commit(ctx, tx); err != nil {
-		// Another daemon removes them, or the next start of one.
-		i.logger.Event("isolator", "rows not removed").Int("rows", len(tx.Writes)).Err(err).End()
-	}
+	return tx
 }
 
 // forgetLocked forgets a row.
--- a/internal/isolator/trial.go
+++ b/internal/isolator/trial.go
@@ -22,17 +22,11 @@
 // together try one request in the time that the trials of its beginning are apart.
 func (i *Isolator) Try(ctx context.Context, m Mark) bool {
 	now := time.Now()
-	i.mu.Lock()
-	i.judgeLocked(now)
-	f, held := i.heldByLocked(m, now)
-	if !held || i.untilTrialLocked(f, now) > 0 {
-		i.mu.Unlock()
+	f, version, held, due := i.beginTrial(m, now)
+	if !due {
 		return !held
 	}
-	version := i.records[trialName(f)].version
 	begun := trial{whole: m.Whole, at: now}
-	i.trials[f] = begun
-	i.mu.Unlock()
 	err := i.claimTrial(ctx, f, version)
 	i.logger.Event("isolator", "beginning tried").Str("fingerprint", f.String()).Str("whole", m.Whole.String()).Err(err).End()
 	if err == nil {
@@ -46,6 +40,20 @@
 	return false
 }
 
+// beginTrial reports whether a request is held by a beginning, and whether a trial of that is due,
+// which begins then. The version is that of the row of its trials.
+func (i *Isolator) beginTrial(m Mark, now time.Time) (f Fingerprint, version uint64, held, due bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.judgeLocked(now)
+	f, held = i.heldByLocked(m, now)
+	if !held || i.untilTrialLocked(f, now) > 0 {
+		return f, 0, held, false
+	}
+	i.trials[f] = trial{whole: m.Whole, at: now}
+	return f, i.records[trialName(f)].version, true, true
+}
+
 // claimTrial writes the row of a beginning's trials, unless another daemon has done so.
 func (i *Isolator) claimTrial(ctx context.Context, f Fingerprint, version uint64) error {
 	value, err := json.Marshal(row{Served: f, Trial: i.options.Name})
