versioner,budgeter,logger,selector: [fix] loops go on after a panic

A panic in one of these loops ended the daemon.

TestOriginsAreRecordedAfterAPanic: panic: odd reply

They are supervised: started again with backoff until their context ends.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -11,6 +11,7 @@
 	"gopkg.in/tomb.v2"
 
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // ErrExhausted reports that the budget does not cover the tokens of the turn, as far as they
@@ -90,7 +91,7 @@
 func Start(ctx context.Context, table storer.Table, process string) *Budgeter {
 	b := &Budgeter{table: table, process: process, programs: map[string]*program{}, retired: newRetired()}
 	b.tomb, _ = tomb.WithContext(ctx)
-	b.tomb.Go(b.run)
+	b.tomb.Go(supervisor.Loop(b.tomb, "budgeter: settlement", b.run))
 	return b
 }
 
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gopkg.in/tomb.v2"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -31,7 +33,7 @@
 	r := &Logger{out: out, queue: make(chan *Line, maxQueuedLines), now: time.Now}
 	r.pool.New = func() any { return &Line{logger: r, text: make([]byte, 0, 256)} }
 	r.tomb, _ = tomb.WithContext(ctx)
-	r.tomb.Go(r.run)
+	r.tomb.Go(supervisor.Loop(r.tomb, "logger: output", r.run))
 	return r
 }
 
--- a/internal/selector/reports.go
+++ b/internal/selector/reports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pimentorail.example/pimentorail/internal/assigner"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -74,6 +75,7 @@
 }
 
 func (b *batch) run() {
+	defer supervisor.Recover("selector: report to a coordinator")
 	ctx, cancel := context.WithTimeout(b.selector.tomb.Context(nil), reportTimeout)
 	defer cancel()
 	if err := b.selector.peers.Call(ctx, b.coordinator.Address, reportMethod, b.request, &ReportReply{}); err != nil && b.selector.coordinators.Failed(b.coordinator.Address) {
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -15,6 +15,7 @@
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/ranker"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
@@ -76,9 +77,9 @@
 	s.views = newViews(t, o.Zone, newLimits(s.shareOfLimits))
 	s.tomb, _ = tomb.WithContext(ctx)
 	s.reporter = &reporter{selector: s, queue: make(chan addressedReport, maxReports)}
-	s.tomb.Go(s.run)
-	s.tomb.Go(s.exchangeLoop)
-	s.tomb.Go(s.reporter.run)
+	s.tomb.Go(supervisor.Loop(s.tomb, "selector: eviction", s.run))
+	s.tomb.Go(supervisor.Loop(s.tomb, "selector: exchange of demand", s.exchangeLoop))
+	s.tomb.Go(supervisor.Loop(s.tomb, "selector: reports", s.reporter.run))
 	return s
 }
 
--- a/internal/versioner/versioner.go
+++ b/internal/versioner/versioner.go
@@ -8,6 +8,7 @@
 	"gopkg.in/tomb.v2"
 
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // Versioner records and finds the origins of streams for one daemon.
@@ -25,7 +26,7 @@
 	v.tomb, _ = tomb.WithContext(ctx)
 	for i := range v.queues {
 		v.queues[i] = &queue{versioner: v, ring: make(chan record, queueLength)}
-		v.tomb.Go(v.queues[i].run)
+		v.tomb.Go(supervisor.Loop(v.tomb, "versioner: queue", v.queues[i].run))
 	}
 	return v
 }
