tunneler: [fix] a panic ends its question, check or tunnel only

Questions to peers, the check of this daemon's own links and the copy to a replica run in goroutines of their own; a panic in one ended the daemon.

TestReachThatPanicsMeansNotReached: panic: odd address

A question or check that panics delivers its failure by defer, so that the inquiry ends as soon as all others have answered. A tunnel is closed and no longer counted by defer as well.

--- a/internal/tunneler/inquiry.go
+++ b/internal/tunneler/inquiry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pimentorail.example/pimentorail/internal/assigner"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -94,8 +95,9 @@
 // check finds out whether this daemon reaches another replica.
 func (q *inquiry) check(ctx context.Context) {
 	var r reached
+	defer func() { q.reached <- r }()
+	defer supervisor.Recover("tunneler: check of own links")
 	r.reached, r.others = q.reaches(ctx)
-	q.reached <- r
 }
 
 // note adds an answer to the evidence.
@@ -115,9 +117,18 @@
 }
 
 func (q question) run(ctx context.Context) {
+	a := answer{peer: q.peer}
+	a.err = supervisor.Do("tunneler: question to a peer", func() (err error) {
+		a.status, err = q.ask(ctx)
+		return err
+	})
+	q.inquiry.answers <- a
+}
+
+func (q question) ask(ctx context.Context) (status, error) {
 	c, s, err := q.inquiry.tunneler.open(ctx, q.peer, q.inquiry.header)
 	if c != nil {
 		_ = c.Close()
 	}
-	q.inquiry.answers <- answer{q.peer, s, err}
+	return s, err
 }
--- a/internal/tunneler/service.go
+++ b/internal/tunneler/service.go
@@ -87,15 +87,14 @@
 		return
 	}
 	t := &tunnel{peer: c, reader: r}
+	defer s.close(t)
 	result := s.connect(t, h)
 	s.logger.Event("tunneler", "asked by a peer").Str("tunnel", h.ID).Str("replica", h.Replica).Str("status", result.String()).End()
 	if _, err := c.Write([]byte{byte(result)}); err != nil || result != connected {
-		s.close(t)
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
 	t.run()
-	s.close(t)
 }
 
 // connect dials the replica of a tunnel.
--- a/internal/tunneler/tunnel.go
+++ b/internal/tunneler/tunnel.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // noticeTimeout bounds the write of a notice to a peer that does not read.
@@ -76,7 +78,8 @@
 func (u *upstream) run() {
 	defer close(u.done)
 	t := u.tunnel
-	_, _ = io.CopyBuffer(struct{ io.Writer }{t.replica}, struct{ io.Reader }{t.reader}, make([]byte, maxFrame))
 	// The peer has closed its connection, or the replica's has failed.
-	_ = t.replica.Close()
+	defer t.replica.Close()
+	defer supervisor.Recover("tunneler: copy to a replica")
+	_, _ = io.CopyBuffer(struct{ io.Writer }{t.replica}, struct{ io.Reader }{t.reader}, make([]byte, maxFrame))
 }
