relayer: [fix] a panic ends its call or row only, and loops go on

A panic in one of the loops of the relayer, or in a call that it makes in a goroutine of its own, ended the daemon. The loops are supervised; one that joins and probes does not start the duties of a member twice. Calls of peers and the read of other zones complete what others wait for by defer: without that, 'reading' would have stayed set and the list of other zones never been read again. Member rows are isolated one by one.

No input is known that brings such a panic about: rows are read by encoding/json, and calls of the store come through its guard, which returns a panic as an error. So there is no test beside those of supervisor and storer.

--- a/internal/relayer/announcement.go
+++ b/internal/relayer/announcement.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pimentorail.example/pimentorail/internal/assigner"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -44,7 +45,7 @@
 		}
 	}
 	for _, p := range x.Others() {
-		x.tomb.Go((&joinCall{relayer: x, peer: p}).run)
+		x.tomb.Go(supervisor.Task("relayer: call of a peer", (&joinCall{relayer: x, peer: p}).run))
 	}
 	return nil
 }
--- a/internal/relayer/confirmation.go
+++ b/internal/relayer/confirmation.go
@@ -8,6 +8,7 @@
 
 	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/messenger"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -97,7 +98,12 @@
 }
 
 // findOthers finds the daemons of other zones, which may take a call to the store.
-func (c *confirmation) findOthers(ctx context.Context) { c.others <- c.relayer.Elsewhere(ctx) }
+func (c *confirmation) findOthers(ctx context.Context) {
+	var list []assigner.Peer
+	defer func() { c.others <- list }()
+	defer supervisor.Recover("relayer: daemons of other zones")
+	list = c.relayer.Elsewhere(ctx)
+}
 
 // ask asks some of the peers and returns their number.
 func (c *confirmation) ask(ctx context.Context, peers []assigner.Peer) int {
@@ -116,11 +122,12 @@
 }
 
 func (c contactCall) run(ctx context.Context) {
+	var answered *contactAnswer
+	defer func() { c.confirmation.answers <- answered }()
+	defer supervisor.Recover("relayer: call of a peer")
 	a := &contactAnswer{askedAt: time.Now()}
-	if err := c.confirmation.pool.Call(ctx, c.peer.Address, contactMethod, ContactRequest{}, &a.reply); err != nil {
-		a = nil
-	} else {
+	if err := c.confirmation.pool.Call(ctx, c.peer.Address, contactMethod, ContactRequest{}, &a.reply); err == nil {
 		a.answeredAt = time.Now()
+		answered = a
 	}
-	c.confirmation.answers <- a
 }
--- a/internal/relayer/expiry.go
+++ b/internal/relayer/expiry.go
@@ -7,6 +7,7 @@
 
 	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -77,6 +78,7 @@
 
 func (c *livenessCall) run(ctx context.Context) {
 	defer c.done.Done()
+	defer supervisor.Recover("relayer: call of a peer")
 	err := c.relayer.announceTo(ctx, c.peer)
 	if c.relayer.members.called(c.peer.Name, err == nil) {
 		c.relayer.logger.Event("relayer", "peer expired").Str("peer", c.peer.Name).Err(err).End()
--- a/internal/relayer/members.go
+++ b/internal/relayer/members.go
@@ -8,6 +8,7 @@
 
 	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // member is the value of a daemon's member row.
@@ -108,6 +109,12 @@
 
 // add adds the peer of a member row and keeps the rest of its state from old.
 func (m *members) add(r storer.Row, old map[string]peer) {
+	defer func() {
+		// The other rows are applied.
+		if v := recover(); v != nil {
+			_ = supervisor.Report("relayer: member row "+r.Key, v)
+		}
+	}()
 	var value member
 	name := r.Name()
 	if name == m.self {
--- a/internal/relayer/neighbours.go
+++ b/internal/relayer/neighbours.go
@@ -12,6 +12,7 @@
 	"pimentorail.example/pimentorail/internal/assigner"
 	"pimentorail.example/pimentorail/internal/messenger"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -113,8 +114,18 @@
 	x := r.relayer
 	ctx, cancel := context.WithTimeout(ctx, neighboursTimeout)
 	defer cancel()
-	var list []assigner.Peer
-	var failure error
+	list, failure := r.read(ctx)
+	if failure != nil {
+		x.logger.Event("relayer", "other zones not read").Err(failure).End()
+	}
+	x.neighbours.endRead(list, failure, time.Now())
+	return list
+}
+
+// read returns the daemons of the other zones, as far as the store tells.
+func (r neighboursRead) read(ctx context.Context) (list []assigner.Peer, failure error) {
+	defer supervisor.Return("relayer: daemons of other zones", &failure)
+	x := r.relayer
 	for _, zone := range x.options.OtherZones {
 		rows, err := x.Scan(ctx, storer.Prefix(membersTable(zone)), "", maxNeighbours)
 		if err != nil {
@@ -127,11 +138,7 @@
 			}
 		}
 	}
-	if failure != nil {
-		x.logger.Event("relayer", "other zones not read").Err(failure).End()
-	}
-	x.neighbours.endRead(list, failure, time.Now())
-	return list
+	return list, failure
 }
 
 // OpenStream opens a connection of its own to a daemon.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/messenger"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -76,7 +77,10 @@
 	logger     *logger.Logger
 	pool       atomic.Pointer[messenger.Pool]
 	tomb       *tomb.Tomb
-	relayed    atomic.Int64
+	// joined is set once run has started the duties of a member. After a panic, it does not
+	// start them again.
+	joined  bool
+	relayed atomic.Int64
 	// reachedByPeer reports whether the last relayed call reached the store.
 	reachedByPeer atomic.Bool
 	// known is the deployment's secret, nil until it was read.
@@ -124,7 +128,7 @@
 		return
 	}
 	x.tomb, _ = tomb.WithContext(ctx)
-	x.tomb.Go(x.run)
+	x.tomb.Go(supervisor.Loop(x.tomb, "relayer: join and probes", x.run))
 }
 
 // Counts returns the number of calls sent to peers and of calls served for peers.
@@ -150,7 +154,7 @@
 // run joins the members, then probes the store during outages.
 func (x *Relayer) run() error {
 	ctx := x.tomb.Context(nil)
-	for backoff := probePeriod; !x.join(ctx); backoff = min(2*backoff, maxJoinBackoff) {
+	for backoff := probePeriod; !x.joined && !x.join(ctx); backoff = min(2*backoff, maxJoinBackoff) {
 		if !x.sleep(backoff/2 + rand.N(backoff)) {
 			return nil
 		}
@@ -223,9 +227,10 @@
 		return false
 	}
 	follower.Start(ctx, x, x.members, follower.Options{Table: x.table(), PollInterval: membersPeriod, Timeout: membersTimeout})
-	x.tomb.Go((&announcement{relayer: x}).run)
-	x.tomb.Go(newRenewal(x, version, time.Now()).run)
-	x.tomb.Go((&expiry{relayer: x}).run)
+	x.tomb.Go(supervisor.Task("relayer: announcement", (&announcement{relayer: x}).run))
+	x.tomb.Go(supervisor.Loop(x.tomb, "relayer: renewal", newRenewal(x, version, time.Now()).run))
+	x.tomb.Go(supervisor.Loop(x.tomb, "relayer: expiry", (&expiry{relayer: x}).run))
+	x.joined = true
 	return true
 }
 
--- a/internal/relayer/renewal.go
+++ b/internal/relayer/renewal.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -51,7 +52,7 @@
 		lost := missing || now.Sub(r.renewedAt) > memberLifetime
 		if r.write(x.tomb.Context(nil), now) && lost {
 			// The others may have taken this daemon for dead.
-			x.tomb.Go((&announcement{relayer: x}).run)
+			x.tomb.Go(supervisor.Task("relayer: announcement", (&announcement{relayer: x}).run))
 		}
 	}
 	return nil
