server: [fix] a panic in a row, a loop or a request doesn't end the daemon

A row of the registry or the configuration at which its decoder panicked ended the daemon, and again after each restart, as it was listed again; so did a panic in a loop of the daemon. One in a request left no line: the ErrorLog of net/http is discarded.

Decoders are isolated row by row, and the line names the key. Loops are supervised. A handler's panic is reported, and the client's connection closed. 'server: recovered' is the line, with the stack; gauges panics and loops-restarted count. The steps of the settlement at a stop are independent.

--- a/internal/server/comparison.go
+++ b/internal/server/comparison.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // registryPeers are the other daemons, which read the registry too.
@@ -21,6 +23,7 @@
 }
 
 func (c *registryComparison) run() {
+	defer supervisor.Recover("server: comparison of the registry")
 	g := c.sink
 	if g.peers.ConfirmRegistry(context.Background(), c.began, c.ended) {
 		g.logChanges(g.tracker.ConfirmRemovals(c.ended), 0)
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -6,6 +6,7 @@
 	"pimentorail.example/pimentorail/internal/isolator"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // configOptions returns the options with which the configuration is followed.
@@ -53,7 +54,11 @@
 	if r.Name() != c.key {
 		return
 	}
-	next, err := c.decode(r.Value)
+	var next *cataloger.Catalog
+	err := supervisor.Do("server: decoder of the configuration", func() (err error) {
+		next, err = c.decode(r.Value)
+		return err
+	})
 	if err != nil {
 		c.logger.Event("server", "configuration unreadable").Uint("row-version", r.Version).Err(err).End()
 		return
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -27,6 +27,7 @@
 	"pimentorail.example/pimentorail/internal/reporter"
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 	"pimentorail.example/pimentorail/internal/tracker"
 	"pimentorail.example/pimentorail/internal/tunneler"
 	"pimentorail.example/pimentorail/internal/versioner"
@@ -95,6 +96,7 @@
 	metrics    *reporter.Reporter
 	catalog    *cataloger.Keeper
 	tracker    *tracker.Tracker
+	failures   *supervisor.Observer
 	outageLog  *outageLog
 	store      *storer.Guard
 	relayer    *relayer.Relayer
@@ -126,6 +128,7 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	d := newDaemon(runCtx, o, p)
+	defer d.failures.Close()
 	if err := d.start(runCtx); err != nil {
 		return err
 	}
@@ -147,6 +150,7 @@
 func newDaemon(ctx context.Context, o Options, p Platform) *Daemon {
 	d := &Daemon{options: o, platform: p, catalog: &cataloger.Keeper{}, metrics: reporter.New(reportPeriod)}
 	d.logger = logger.Start(ctx, o.Output)
+	d.failures = supervisor.Observe(d.logFailure)
 	d.outageLog = newOutageLog(d.logger)
 	d.tracker = tracker.New(tracker.Options{OutageGrace: outageGrace})
 	d.store = newGuard(p.Table, p.Feed)
@@ -212,15 +216,15 @@
 		}
 	}
 	if d.options.Reload != nil {
-		d.tomb.Go((&reloader{daemon: d}).run)
+		d.tomb.Go(supervisor.Loop(d.tomb, "server: reloader", (&reloader{daemon: d}).run))
 	}
-	d.tomb.Go(d.run)
+	d.tomb.Go(supervisor.Loop(d.tomb, "server: housekeeping", d.run))
 	return nil
 }
 
 func (d *Daemon) newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: &recovery{next: h}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -1,6 +1,10 @@
 package server
 
-import "time"
+import (
+	"time"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
+)
 
 // reportPeriod is the period after which the metrics address shows new values of counters.
 const reportPeriod = 2 * time.Second
@@ -17,6 +21,8 @@
 	s.Gauge("requests-condemned").Update(float64(condemned))
 	s.Gauge("store-away-seconds").Update(d.store.OutageDuration().Seconds())
 	s.Gauge("log-lines-dropped").Update(float64(d.logger.Dropped()))
+	s.Gauge("panics").Update(float64(supervisor.Panics()))
+	s.Gauge("loops-restarted").Update(float64(supervisor.Restarts()))
 	c := d.forwarder.Connections()
 	s.Gauge("connections-dialed").Update(float64(c.Dialed))
 	s.Gauge("connections-detoured").Update(float64(c.Detoured))
--- a/internal/server/reach.go
+++ b/internal/server/reach.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pimentorail.example/pimentorail/internal/supervisor"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
@@ -63,14 +64,15 @@
 }
 
 func (d *reachDial) run(ctx context.Context) {
+	result := reachFailed
+	defer func() { d.results <- result }()
+	defer supervisor.Recover("server: dial of a replica")
 	c, err := d.daemon.conns.DialDirectly(ctx, d.replica.Instance(), d.replica.Address)
 	switch {
 	case err == nil:
 		_ = c.Close()
-		d.results <- reachAccepted
+		result = reachAccepted
 	case d.daemon.endings.has(d.replica.Address, time.Now()):
-		d.results <- reachEnded
-	default:
-		d.results <- reachFailed
+		result = reachEnded
 	}
 }
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -6,6 +6,7 @@
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
@@ -92,7 +93,11 @@
 }
 
 func (g *registrySink) decodeRow(r storer.Row) *tracker.Replica {
-	x, err := g.decode(r.Name(), r.Value)
+	var x *tracker.Replica
+	err := supervisor.Do("server: decoder of registry rows", func() (err error) {
+		x, err = g.decode(r.Name(), r.Value)
+		return err
+	})
 	if err != nil {
 		g.logger.Event("server", "registry row ignored").Str("key", r.Key).Uint("row-version", r.Version).Err(err).End()
 		return nil
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -70,7 +72,13 @@
 
 func (s *settlement) run(ctx context.Context) {
 	defer close(s.done)
-	s.daemon.programs.Drain(ctx)
-	s.daemon.budgets.Settle(ctx)
-	s.daemon.relayer.Leave(ctx)
+	for _, step := range []func(context.Context){s.daemon.programs.Drain, s.daemon.budgets.Settle, s.daemon.relayer.Leave} {
+		s.runStep(ctx, step)
+	}
+}
+
+// runStep runs a step, whose panic does not keep the next one from running.
+func (s *settlement) runStep(ctx context.Context, step func(context.Context)) {
+	defer supervisor.Recover("server: settlement")
+	step(ctx)
 }
