leaser,configurer,reaper,lister,limiter,journaler,controller,runner: [fix] loops go on after a panic

The loops of 'pimentorail daemon' that only repeat a duty are supervised like those of 'pimentorail serve'. The owners of sequencer and allocator and the calls of conductor are not: their state after a panic is in doubt, and a restart of the process reads it anew.

--- a/internal/configurer/watcher.go
+++ b/internal/configurer/watcher.go
@@ -7,6 +7,8 @@
 
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -49,7 +51,7 @@
 // Start follows the head until the context ends.
 func (w *Watcher) Start(ctx context.Context) {
 	w.tomb, _ = tomb.WithContext(ctx)
-	w.tomb.Go(w.run)
+	w.tomb.Go(supervisor.Loop(w.tomb, "configurer: watcher", w.run))
 }
 
 // Wait returns when the watcher has stopped.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,6 +7,8 @@
 	"github.com/pkg/errors"
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -67,7 +69,7 @@
 // Start runs the controller until the context ends.
 func (c *Controller) Start(ctx context.Context) {
 	c.tomb, _ = tomb.WithContext(ctx)
-	c.tomb.Go(c.run)
+	c.tomb.Go(supervisor.Loop(c.tomb, "controller: reconciliation", c.run))
 }
 
 // Wait returns when the controller has stopped.
--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -12,6 +12,7 @@
 
 	"pimentorail.example/pimentorail/internal/leaser"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -58,7 +59,7 @@
 // Start commits batches in the background until the context ends.
 func (j *Journaler) Start(ctx context.Context) {
 	j.tomb, _ = tomb.WithContext(ctx)
-	j.tomb.Go(j.run)
+	j.tomb.Go(supervisor.Loop(j.tomb, "journaler: batches", j.run))
 }
 
 // Wait returns when the journaler has stopped.
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -98,7 +99,7 @@
 // Start runs the leaser until the context ends.
 func (l *Leaser) Start(ctx context.Context) {
 	l.tomb, _ = tomb.WithContext(ctx)
-	l.tomb.Go(l.run)
+	l.tomb.Go(supervisor.Loop(l.tomb, "leaser: leases", l.run))
 }
 
 // Wait returns when the leaser has stopped.
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -7,6 +7,7 @@
 
 	"gopkg.in/tomb.v2"
 
+	"pimentorail.example/pimentorail/internal/supervisor"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
@@ -46,7 +47,7 @@
 // Start renews slices until the context ends.
 func (p *Pool) Start(ctx context.Context) {
 	p.tomb, _ = tomb.WithContext(ctx)
-	p.tomb.Go(p.run)
+	p.tomb.Go(supervisor.Loop(p.tomb, "limiter: slices", p.run))
 }
 
 // Wait returns when the pool has stopped.
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const listInterval = time.Second
@@ -32,7 +33,7 @@
 // Start polls the list until the context ends.
 func (l *Lister) Start(ctx context.Context) {
 	l.tomb, _ = tomb.WithContext(ctx)
-	l.tomb.Go(l.run)
+	l.tomb.Go(supervisor.Loop(l.tomb, "lister: list of VMs", l.run))
 }
 
 // Wait returns when the lister has stopped.
--- a/internal/reaper/reaper.go
+++ b/internal/reaper/reaper.go
@@ -6,6 +6,8 @@
 
 	"gopkg.in/tomb.v2"
 	"k8s.io/klog/v2"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -41,7 +43,7 @@
 // Start runs the reaper until the context ends.
 func (r *Reaper) Start(ctx context.Context) {
 	r.tomb, _ = tomb.WithContext(ctx)
-	r.tomb.Go(r.run)
+	r.tomb.Go(supervisor.Loop(r.tomb, "reaper: scan", r.run))
 }
 
 // Wait returns when the reaper has stopped.
--- a/internal/runner/metrics.go
+++ b/internal/runner/metrics.go
@@ -7,6 +7,7 @@
 	"gopkg.in/tomb.v2"
 
 	"pimentorail.example/pimentorail/internal/reporter"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const gaugePeriod = time.Second
@@ -24,7 +25,7 @@
 func (m *metrics) start(ctx context.Context, d *Daemon) {
 	m.daemon = d
 	m.tomb, _ = tomb.WithContext(ctx)
-	m.tomb.Go(m.run)
+	m.tomb.Go(supervisor.Loop(m.tomb, "runner: gauges", m.run))
 }
 
 func (m *metrics) run() error {
