--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"pimentorail.example/pimentorail/internal/acceptor"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // StreamHandler serves a connection that a peer opened with Pool.OpenStream. The connection is
@@ -50,7 +51,7 @@
 func (s *Server) Start(ctx context.Context, l net.Listener) {
 	s.ln = acceptor.Wrap(l, "peers", acceptor.KlogObserver("messenger"))
 	s.tomb, _ = tomb.WithContext(ctx)
-	s.tomb.Go(s.run)
+	s.tomb.Go(supervisor.Loop(s.tomb, "messenger: accept", s.run))
 	s.tomb.Go(s.loop)
 }
 
@@ -65,7 +66,7 @@
 			return nil // The listener is closed.
 		}
 		peer := &session{server: s, conn: c}
-		s.tomb.Go(peer.run)
+		s.tomb.Go(supervisor.Task("messenger: connection of a peer", peer.run))
 	}
 }
 
@@ -90,7 +91,7 @@
 		return
 	}
 	if kind == rpcKind {
-		s.rpc.ServeConn(c)
+		newRPCSession(s.rpc, c).run()
 		return
 	}
 	s.streams[kind].ServeStream(c)
@@ -102,13 +103,18 @@
 	conn   net.Conn
 }
 
+// forget removes the connection from those of the server.
+func (s *session) forget() {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	delete(s.server.conns, s.conn)
+}
+
 func (s *session) run() error {
 	s.server.mu.Lock()
 	s.server.conns[s.conn] = true
 	s.server.mu.Unlock()
+	defer s.forget()
 	s.server.ServeConn(s.conn)
-	s.server.mu.Lock()
-	delete(s.server.conns, s.conn)
-	s.server.mu.Unlock()
 	return nil
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/messenger"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 const (
@@ -78,7 +80,10 @@
 	logger     *logger.Logger
 	pool       atomic.Pointer[messenger.Pool]
 	tomb       *tomb.Tomb
-	relayed    atomic.Int64
+	// joined is set once run has started the duties of a member. After a panic, it does not
+	// start them again.
+	joined  bool
+	relayed atomic.Int64
 	// reachedByPeer reports whether the last relayed call reached the store.
 	reachedByPeer atomic.Bool
 	// known is the deployment's secret, nil until it was read.
@@ -88,6 +93,7 @@
 	// left is set once a planned stop has begun to remove the member row, and wrote before the
 	// row is written for the first time.
 	left, wrote atomic.Bool
+	startProber sync.Once
 	// predecessorChecked is set once the row of the process before this one was read.
 	predecessorChecked bool
 }
@@ -129,7 +135,7 @@
 		return
 	}
 	x.tomb, _ = tomb.WithContext(ctx)
-	x.tomb.Go(x.run)
+	x.tomb.Go(supervisor.Loop(x.tomb, "relayer: join", x.run))
 }
 
 // Counts returns the number of calls sent to peers and of calls served for peers.
@@ -152,7 +158,7 @@
 // key returns the key of this daemon's member row.
 func (x *Relayer) key() string { return storer.Prefix(x.table()) + x.options.VM }
 
-// run joins the members.
+// run joins the members. After a panic it goes on with the steps that are not done.
 func (x *Relayer) run() error {
 	ctx := x.tomb.Context(nil)
 	var secret string
@@ -162,9 +168,9 @@
 	}) {
 		return nil
 	}
-	x.tomb.Go((&prober{relayer: x}).run)
-	if x.serve(ctx, secret) {
-		x.retry(func() bool { return x.join(ctx) })
+	x.startProber.Do(func() { x.tomb.Go(supervisor.Loop(x.tomb, "relayer: probes", (&prober{relayer: x}).run)) })
+	if x.pool.Load() != nil || x.serve(ctx, secret) {
+		x.retry(func() bool { return x.joined || x.join(ctx) })
 	}
 	return nil
 }
@@ -251,9 +257,10 @@
 		return false
 	}
 	follower.Start(ctx, x, x.members, follower.Options{Table: x.table(), PollInterval: membersPeriod, Timeout: membersTimeout})
-	x.tomb.Go((&announcement{relayer: x}).run)
-	x.tomb.Go(newRenewal(x, version, time.Now()).run)
-	x.tomb.Go((&expiry{relayer: x}).run)
+	x.tomb.Go(supervisor.Task("relayer: announcement", (&announcement{relayer: x}).run))
+	x.tomb.Go(supervisor.Loop(x.tomb, "relayer: renewal", newRenewal(x, version, time.Now()).run))
+	x.tomb.Go(supervisor.Loop(x.tomb, "relayer: expiry", (&expiry{relayer: x}).run))
+	x.joined = true
 	return true
 }
 
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -27,6 +27,7 @@
 	"pimentorail.example/pimentorail/internal/reporter"
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/storer"
+	"pimentorail.example/pimentorail/internal/supervisor"
 	"pimentorail.example/pimentorail/internal/tracker"
 	"pimentorail.example/pimentorail/internal/tunneler"
 	"pimentorail.example/pimentorail/internal/versioner"
@@ -95,6 +96,7 @@
 	metrics    *reporter.Reporter
 	catalog    *cataloger.Keeper
 	tracker    *tracker.Tracker
+	failures   *supervisor.Observer
 	outageLog  *outageLog
 	store      *storer.Guard
 	relayer    *relayer.Relayer
@@ -133,6 +135,7 @@
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	d := newDaemon(runCtx, o, p, e.logger)
+	defer d.failures.Close()
 	d.start(runCtx)
 	select {
 	case <-ctx.Done():
@@ -153,6 +156,7 @@
 
 func newDaemon(ctx context.Context, o Options, p Platform, l *logger.Logger) *Daemon {
 	d := &Daemon{options: o, platform: p, logger: l, catalog: &cataloger.Keeper{}, metrics: reporter.New(reportPeriod)}
+	d.failures = supervisor.Observe(d.logFailure)
 	d.outageLog = newOutageLog(d.logger)
 	d.tracker = tracker.New(tracker.Options{OutageGrace: outageGrace})
 	d.acceptor = acceptor.New(ctx, listen, listenLog{d.logger})
@@ -200,16 +204,16 @@
 	if d.options.MetricsAddress != "" {
 		d.metricsServer = d.newServer(d.metrics.Handler())
 	}
-	d.tomb.Go(d.run)
+	d.tomb.Go(supervisor.Loop(d.tomb, "server: housekeeping", d.run))
 	if d.options.Reload != nil {
-		d.tomb.Go((&reloader{daemon: d}).run)
+		d.tomb.Go(supervisor.Loop(d.tomb, "server: reloader", (&reloader{daemon: d}).run))
 	}
 	d.tomb.Go((&opening{daemon: d, lifetime: runCtx}).run)
 }
 
 func (d *Daemon) newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: &recovery{next: h}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -1,6 +1,10 @@
 package server
 
-import "time"
+import (
+	"time"
+
+	"pimentorail.example/pimentorail/internal/supervisor"
+)
 
 // reportPeriod is the period after which the metrics address shows new values of counters.
 const reportPeriod = 2 * time.Second
@@ -20,6 +24,8 @@
 	s.Gauge("accept-failures").Update(float64(d.acceptor.Failures()))
 	s.Gauge("log-lines-dropped").Update(float64(d.logger.Dropped()))
 	s.Gauge("log-lines-unwritten").Update(float64(d.logger.Unwritten()))
+	s.Gauge("panics").Update(float64(supervisor.Panics()))
+	s.Gauge("loops-restarted").Update(float64(supervisor.Restarts()))
 	c := d.forwarder.Connections()
 	s.Gauge("connections-dialed").Update(float64(c.Dialed))
 	s.Gauge("connections-detoured").Update(float64(c.Detoured))
--- a/internal/server/opening.go
+++ b/internal/server/opening.go
@@ -10,6 +10,7 @@
 
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/follower"
+	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
 // opening opens the daemon's listeners, each as soon as its port is free.
@@ -23,7 +24,10 @@
 	lifetime context.Context
 }
 
-func (o *opening) run() error {
+func (o *opening) run() error { return supervisor.Do("server: opening of ports", o.open) }
+
+// open returns an error that ends the daemon.
+func (o *opening) open() error {
 	d := o.daemon
 	began := time.Now()
 	ctx := d.tomb.Context(nil)
@@ -34,7 +38,7 @@
 	d.tomb.Go((&acceptLoop{server: d.readyServer, listener: ready}).run)
 	o.follow(ctx)
 	if d.metricsServer != nil {
-		d.tomb.Go((&metricsOpening{daemon: d}).run)
+		d.tomb.Go(supervisor.Task("server: metrics", (&metricsOpening{daemon: d}).run))
 	}
 	clients, err := d.acceptor.Open(ctx, "clients", d.options.ClientAddress)
 	if err != nil {
@@ -89,7 +93,10 @@
 	listener net.Listener
 }
 
-func (a *acceptLoop) run() error {
+// run returns an error only if the listener was lost. The daemon is of no use then, and stops.
+func (a *acceptLoop) run() error { return supervisor.Do("server: accept", a.serve) }
+
+func (a *acceptLoop) serve() error {
 	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve")
 	}
