server,logger: [fix] an odd registry row names no replica, whichever way it is read

What callers saw: after another writer spoiled the row of a replica, daemons that read the feed went on using it for as long as the row stayed odd, and daemons that listed the table did not. A row 'x/r1' (or its removal) was taken for the row of replica r1, since Row.Name is what follows the last slash. A row with an address of this daemon itself was a replica: it sent requests to itself. Each rewrite of an odd row was one log line, up to one a read and row.

Cause: Update skipped rows that Replace left out. Change: an invalid row has the effect of a removed one in both; ids are taken from the key with their slashes and those are refused; own addresses are refused; one line a minute and row, for at most 16 rows, with the count of the lines left out.

Evidence: the four tests failed before (r1 used while its row was odd; r0 gone by x/r0; r0 at the own address used; 800 lines about 800 writes of odd rows) and pass now under -race. A row that is odd and back between two reads ends as it was last written.

--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -195,6 +195,8 @@
 	registry := &timedFeed{Feed: d.relayer}
 	follower.Start(ctx, registry, &registrySink{
 		tracker: d.tracker, feed: registry, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog, peers: d.relayer,
+		own:     []string{d.options.ClientAddress, d.options.ReadyAddress, d.options.MetricsAddress, d.options.PeerAddress},
+		ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows),
 	}, registryOptions(d.platform.ReplicaTable))
 	follower.Start(ctx, d.relayer, d.isolator, crashOptions())
 	d.clientServer = d.newServer(d.closeWhenStopping(d.platform.Ingress(d.forwarder, d.catalog)))
--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -18,12 +18,17 @@
 
 // NewRegistrySink returns the sink that a daemon uses for the registry of replicas.
 func NewRegistrySink(t *tracker.Tracker, decode func(string, []byte) (*tracker.Replica, error), l *logger.Logger) follower.Sink {
-	return &registrySink{tracker: t, decode: decode, feed: &timedFeed{}, logger: l, outageLog: newOutageLog(l)}
+	return NewOwnRegistrySink(t, decode, l, nil)
+}
+
+// NewOwnRegistrySink returns the same for a daemon with its own addresses.
+func NewOwnRegistrySink(t *tracker.Tracker, decode func(string, []byte) (*tracker.Replica, error), l *logger.Logger, own []string) follower.Sink {
+	return &registrySink{tracker: t, decode: decode, feed: &timedFeed{}, logger: l, outageLog: newOutageLog(l), own: own, ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
 }
 
 // NewComparingRegistrySink returns the same with peers that are asked after an outage.
 func NewComparingRegistrySink(t *tracker.Tracker, decode func(string, []byte) (*tracker.Replica, error), l *logger.Logger, peers registryPeers) follower.Sink {
-	return &registrySink{tracker: t, decode: decode, feed: &timedFeed{}, logger: l, outageLog: newOutageLog(l), peers: peers}
+	return &registrySink{tracker: t, decode: decode, feed: &timedFeed{}, logger: l, outageLog: newOutageLog(l), peers: peers, ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
 }
 
 // NewConfigSink returns the sink that a daemon uses for the configuration.
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -1,8 +1,12 @@
 package server
 
 import (
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/storer"
@@ -16,6 +20,13 @@
 	return follower.Options{Table: table, PollInterval: registryPeriod, Timeout: followTimeout, VerifyAfter: outageGrace}
 }
 
+const (
+	// ignoredPeriod is the least time between two log lines about one row that is ignored, and
+	// maxIgnoredRows the number of rows about which there are lines in that time.
+	ignoredPeriod  = time.Minute
+	maxIgnoredRows = 16
+)
+
 // registrySink decodes the rows of the registry of replicas and updates the tracker with
 // them.
 type registrySink struct {
@@ -25,6 +36,10 @@
 	decode    func(id string, value []byte) (*tracker.Replica, error)
 	logger    *logger.Logger
 	outageLog *outageLog
+	// own are the addresses at which this daemon itself listens.
+	own []string
+	// ignored bounds the lines about invalid rows.
+	ignored *logger.Limit
 	// peers are told of the contact with the registry and asked for theirs; nil without peers.
 	peers  registryPeers
 	outage registryOutage
@@ -45,15 +60,16 @@
 	g.logChanges(g.tracker.ReadCompleted(g.feed.began), version)
 }
 
-// Update implements follower.Sink.
+// Update implements follower.Sink. An invalid row names no replica, so it has the effect of a
+// removed one, as it has in Replace.
 func (g *registrySink) Update(changes []storer.Change, version uint64) {
 	rows := make([]tracker.Row, 0, len(changes))
 	for _, c := range changes {
-		if c.Removed {
-			rows = append(rows, tracker.Row{ID: c.Name()})
-		} else if x := g.decodeRow(c.Row); x != nil {
-			rows = append(rows, tracker.Row{ID: c.Name(), Replica: x})
+		row := tracker.Row{ID: rowID(c.Key)}
+		if !c.Removed {
+			row.Replica = g.decodeRow(c.Row)
 		}
+		rows = append(rows, row)
 	}
 	now := time.Now()
 	g.read(now)
@@ -91,13 +107,31 @@
 	}
 }
 
+// rowID returns the id of a row with a key of the form table/part/id. Unlike storer.Row.Name it
+// keeps slashes, so that the row "x/r1" is not taken for that of replica "r1".
+func rowID(key string) string {
+	_, rest, _ := strings.Cut(key, "/")
+	_, id, _ := strings.Cut(rest, "/")
+	return id
+}
+
+// decodeRow returns the replica of a row, or nil if the row is invalid.
 func (g *registrySink) decodeRow(r storer.Row) *tracker.Replica {
-	x, err := g.decode(r.Name(), r.Value)
-	if err != nil {
-		g.logger.Event("server", "registry row ignored").Str("key", r.Key).Uint("row-version", r.Version).Err(err).End()
-		return nil
+	id := rowID(r.Key)
+	x, err := g.decode(id, r.Value)
+	switch {
+	case strings.Contains(id, "/"):
+		err = errors.Errorf("id %q contains a slash", id)
+	case err == nil && slices.Contains(g.own, x.Address):
+		err = errors.Errorf("address %q is this daemon's own", x.Address)
+	}
+	if err == nil {
+		return x
+	}
+	if skipped, ok := g.ignored.Allow(r.Key, time.Now()); ok {
+		g.logger.Event("server", "registry row ignored").Str("key", r.Key).Uint("row-version", r.Version).Int("lines-skipped", skipped).Err(err).End()
 	}
-	return x
+	return nil
 }
 
 func (g *registrySink) logChanges(changes []tracker.Change, version uint64) {
