archivist: [fix] the header of a turn's row can't name impossible sizes

Thousands of ancestors were as many reads of the store at a time, and 'bytes' near 2^63 overflowed the memory counted for histories.

Cause: the numbers of the header were used as read. Change: decode checks them against what a daemon writes (at most 12 ancestors, 99 further rows in one call, 16 MB).

Evidence: TestOddHeadersOfTurnsAreErrors: panics, the out-of-memory error and further reads before (each case run by itself), passes now under -race. TestHistoryInACircleEnds passed before as well.

--- a/internal/archivist/archivist.go
+++ b/internal/archivist/archivist.go
@@ -199,7 +199,7 @@
 	if row.Version == 0 {
 		return nil, errors.Wrapf(ErrNoTurn, "%q", id)
 	}
-	n, header, err := decode(id, row.Value)
+	n, header, err := decode(id, row.Value, a.options.RowBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/archivist/turn.go
+++ b/internal/archivist/turn.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -18,6 +20,11 @@
 	// headerShare is the inverse of the part of a row that the header may take. Long ids of
 	// ancestors are left out beyond it, apart from the parent's.
 	headerShare = 2
+	// maxAnyRows bounds the additional rows that a header may name, whatever the size of a row
+	// was when they were written.
+	maxAnyRows = MaxTurnBytes >> 10
+	// contentBytes is the length of rowHeader.Content, 64 bits in hexadecimal.
+	contentBytes = 16
 )
 
 // Turn is one request of a program together with its response.
@@ -105,15 +112,42 @@
 	return header, values, nil
 }
 
-// decode parses the first row of a turn; the node has the text of that row.
-func decode(id string, value []byte) (*node, *rowHeader, error) {
+// check returns an error if no daemon writes such a header. Its numbers are the sizes of
+// allocations, and each ancestor is a read of the store.
+func (h *rowHeader) check(rowBytes int) error {
+	switch {
+	case len(h.Ancestors) > maxAncestors:
+		return errors.Errorf("%d ancestors, limit %d", len(h.Ancestors), maxAncestors)
+	case slices.Contains(h.Ancestors, ""):
+		return errors.New("an ancestor without an id")
+	case h.Content == "" && (h.Bytes != 0 || h.More < 0 || h.More > maxCallRows):
+		return errors.Errorf("%d additional rows and %d bytes without content, limits %d and 0", h.More, h.Bytes, maxCallRows)
+	case h.Content == "":
+		return nil
+	case h.Bytes < 0 || h.Bytes > MaxTurnBytes:
+		return errors.Errorf("%d bytes, limit %d", h.Bytes, MaxTurnBytes)
+	case h.More < 0 || h.More > h.Bytes || h.More > max(maxAnyRows, h.Bytes/max(1, rowBytes)+1):
+		return errors.Errorf("%d additional rows for %d bytes", h.More, h.Bytes)
+	}
+	if _, err := strconv.ParseUint(h.Content, 16, 64); err != nil || len(h.Content) != contentBytes {
+		return errors.Errorf("content %.50q is not %d hexadecimal digits", h.Content, contentBytes)
+	}
+	return nil
+}
+
+// decode parses the first row of a turn; the node has the text of that row. Rows have at most
+// rowBytes bytes.
+func decode(id string, value []byte, rowBytes int) (*node, *rowHeader, error) {
 	line, text, ok := bytes.Cut(value, []byte("\n"))
 	var header rowHeader
-	if !ok {
+	if !ok || !bytes.HasPrefix(line, []byte("{")) {
 		return nil, nil, errors.Errorf("row of turn %q has no header line", id)
 	}
 	if err := json.Unmarshal(line, &header); err != nil {
-		return nil, nil, errors.Wrapf(err, "decode header of turn %q", id)
+		return nil, nil, errors.Errorf("decode header of turn %q: %.200s", id, err)
+	}
+	if err := header.check(rowBytes); err != nil {
+		return nil, nil, errors.Wrapf(err, "header of turn %q", id)
 	}
 	return &node{id: id, ancestors: header.Ancestors, text: text}, &header, nil
 }
