budgeter: [fix] a budget holds for turns of any size and beside odd rows

What callers saw: a program with a budget of 100 tokens, of which some were spent, got a turn of 2^63-1 tokens, since the sum of the check overflowed. A budget row of another writer with a negative or overflowing number, or with none, raised the budget of its program; one that could not be decoded was written over and read again without pause until the turn's timeout.

Change: the size of the turn is compared, not added, before the check; rows are checked when they are decoded (0 to 2^48 tokens a holder), and an invalid row ends the attempt.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -177,9 +177,10 @@
 	var backoff storer.Backoff
 	for {
 		b.mu.Lock()
-		want := p.spent + p.reserved + tokens
+		want := p.spent + p.reserved
 		b.mu.Unlock()
-		if p.row.heldByOthers(p.holder)+want > limit {
+		// The number of tokens may be near the largest integer, so it is added only after this.
+		if tokens > limit-p.row.heldByOthers(p.holder)-want {
 			if reloaded {
 				return newDenial(p.row, b.process)
 			}
@@ -189,6 +190,7 @@
 			reloaded = true
 			continue
 		}
+		want += tokens
 		if want <= p.row.Held[p.holder] && !p.inDoubt {
 			b.addReserved(p, tokens)
 			return nil
@@ -201,7 +203,7 @@
 		case errors.Is(err, storer.ErrConflict):
 			reloaded = true
 			continue
-		case errors.Is(err, storer.ErrOutage):
+		case errors.Is(err, storer.ErrOutage) || errors.Is(err, errInvalidRow):
 			return err
 		}
 		if !backoff.Wait(ctx) {
--- a/internal/budgeter/giveback.go
+++ b/internal/budgeter/giveback.go
@@ -46,7 +46,7 @@
 		switch {
 		case err == nil:
 			return true, nil
-		case errors.Is(err, storer.ErrOutage) || ctx.Err() != nil:
+		case errors.Is(err, storer.ErrOutage) || errors.Is(err, errInvalidRow) || ctx.Err() != nil:
 			return true, err
 		case !errors.Is(err, storer.ErrConflict) && !backoff.Wait(ctx):
 			return true, err
--- a/internal/budgeter/row.go
+++ b/internal/budgeter/row.go
@@ -12,6 +12,12 @@
 // partitions.
 const keyPrefixes = 256
 
+// maxHeld bounds the tokens of one holder, so that sums of them don't overflow.
+const maxHeld = 1 << 48
+
+// errInvalidRow reports a row that no daemon writes. Another attempt reads the same.
+var errInvalidRow = errors.New("budgeter: invalid row")
+
 // row is the durable state of one program.
 type row struct {
 	// Held is the number of tokens spent or reserved by each holder.
@@ -41,13 +47,25 @@
 	return value, errors.Wrap(err, "encode budget")
 }
 
+// decode returns the state of a program, which is empty without a value. The tokens that are
+// left of its budget are not known if a row is invalid.
 func decode(value []byte) (row, error) {
 	var r row
 	if len(value) == 0 {
 		return r, nil
 	}
-	err := json.Unmarshal(value, &r)
-	return r, errors.Wrap(err, "decode budget")
+	if err := json.Unmarshal(value, &r); err != nil {
+		return row{}, errors.Wrapf(errInvalidRow, "decode budget: %.200s", err)
+	}
+	if r.Held == nil {
+		return row{}, errors.Wrapf(errInvalidRow, "value of %d bytes has no tokens held", len(value))
+	}
+	for holder, held := range r.Held {
+		if held < 0 || held > maxHeld {
+			return row{}, errors.Wrapf(errInvalidRow, "holder %.100q has %d tokens, limit %d", holder, held, int64(maxHeld))
+		}
+	}
+	return r, nil
 }
 
 func key(program string) string {
