isolator,logger: [fix] odd crash rows and long errors do not flood the log

What callers saw: each rewrite of an odd row of crashes was one line of the log, up to the length of the row (a fingerprint of 60,000 bytes was quoted in full). Lines beyond 2,048 that wait are dropped, so that those about requests go missing.

Change: one line a minute and row, for at most 16 rows, with the number of lines left out; the text of an error in a line is cut after 1 KB.

Ruled out: times of crashes near the ends of the integers (TestOddTimesOfCrashes passed before as well).

--- a/internal/archivist/turn.go
+++ b/internal/archivist/turn.go
@@ -144,7 +144,7 @@
 		return nil, nil, errors.Errorf("row of turn %q has no header line", id)
 	}
 	if err := json.Unmarshal(line, &header); err != nil {
-		return nil, nil, errors.Errorf("decode header of turn %q: %.200s", id, err)
+		return nil, nil, errors.Errorf("decode header of turn %q: %.200s", id, err.Error())
 	}
 	if err := header.check(rowBytes); err != nil {
 		return nil, nil, errors.Wrapf(err, "header of turn %q", id)
--- a/internal/budgeter/row.go
+++ b/internal/budgeter/row.go
@@ -55,7 +55,7 @@
 		return r, nil
 	}
 	if err := json.Unmarshal(value, &r); err != nil {
-		return row{}, errors.Wrapf(errInvalidRow, "decode budget: %.200s", err)
+		return row{}, errors.Wrapf(errInvalidRow, "decode budget: %.200s", err.Error())
 	}
 	if r.Held == nil {
 		return row{}, errors.Wrapf(errInvalidRow, "value of %d bytes has no tokens held", len(value))
--- a/internal/isolator/fingerprint.go
+++ b/internal/isolator/fingerprint.go
@@ -39,7 +39,7 @@
 func (f *Fingerprint) UnmarshalText(text []byte) error {
 	b, err := hex.DecodeString(string(text))
 	if err != nil || len(b) != len(f) {
-		return errors.Errorf("fingerprint %q is not %d bytes in hexadecimal", text, len(f))
+		return errors.Errorf("fingerprint %.50q is not %d bytes in hexadecimal", text, len(f))
 	}
 	copy(f[:], b)
 	return nil
--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -49,7 +49,9 @@
 	tomb    *tomb.Tomb
 	wake    chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// ignored bounds the lines about invalid rows.
+	ignored *logger.Limit
 	records map[string]record
 	// pending holds the requests that broke off at instances whose end is not confirmed yet,
 	// and own those of confirmed crashes that this daemon has recorded.
@@ -75,7 +77,7 @@
 // Start returns an Isolator that writes its rows until the context ends.
 func Start(ctx context.Context, t storer.Table, l *logger.Logger, o Options) *Isolator {
 	i := &Isolator{
-		options: o, table: t, logger: l, wake: make(chan struct{}, 1),
+		options: o, table: t, logger: l, wake: make(chan struct{}, 1), ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows),
 		records: map[string]record{}, pending: map[string]*brokenOff{}, own: map[string]*brokenOff{}, unwritten: map[string]row{}, trials: map[Fingerprint]trial{},
 	}
 	i.tomb, _ = tomb.WithContext(ctx)
--- a/internal/isolator/row.go
+++ b/internal/isolator/row.go
@@ -115,10 +115,10 @@
 func decodeRow(r storer.Row) (row, error) {
 	var v row
 	if err := json.Unmarshal(r.Value, &v); err != nil {
-		return row{}, errors.Wrapf(err, "crash row %q", r.Name())
+		return row{}, errors.Errorf("crash row %q: %.200s", r.Name(), err.Error())
 	}
 	if len(v.Suspects) > maxSuspects || len(v.Excused) > maxExcused || v.Instance == "" && v.Served == (Fingerprint{}) {
-		return row{}, errors.Errorf("crash row %q has %d suspects, %d excused instances, instance %q and served request %s", r.Name(), len(v.Suspects), len(v.Excused), v.Instance, v.Served)
+		return row{}, errors.Errorf("crash row %q has %d suspects, %d excused instances, instance %.100q and served request %s", r.Name(), len(v.Suspects), len(v.Excused), v.Instance, v.Served)
 	}
 	return v, nil
 }
--- a/internal/isolator/rows.go
+++ b/internal/isolator/rows.go
@@ -25,6 +25,10 @@
 	maxBatch     = 50
 	// maxPrefixes bounds the beginnings in memory. 131,072 take 2 MB.
 	maxPrefixes = 131072
+	// ignoredPeriod is the least time between two log lines about one row that is ignored, and
+	// maxIgnoredRows the number of rows about which there are lines in that time.
+	ignoredPeriod  = time.Minute
+	maxIgnoredRows = 16
 )
 
 // Replace implements follower.Sink.
@@ -73,7 +77,9 @@
 func (i *Isolator) putLocked(r storer.Row, now time.Time) {
 	v, err := decodeRow(r)
 	if err != nil {
-		i.logger.Event("isolator", "row ignored").Err(err).End()
+		if skipped, ok := i.ignored.Allow(r.Name(), now); ok {
+			i.logger.Event("isolator", "row ignored").Uint("row-version", r.Version).Int("lines-skipped", skipped).Err(err).End()
+		}
 		return
 	}
 	i.addLocked(r.Name(), v, r.Version, now)
--- a/internal/logger/limit_test.go
+++ b/internal/logger/limit_test.go
@@ -1,7 +1,11 @@
 package logger_test
 
 import (
+	"bytes"
+	"context"
+	"errors"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,3 +39,16 @@
 	is.True(ok)
 	is.Equal(skipped, 0)
 }
+
+// An error that quotes a value of 64 KB was a line as long.
+func TestLongErrorsAreCut(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	ctx, cancel := context.WithCancel(context.Background())
+	l := logger.Start(ctx, &out)
+	l.Event("a", "b").Err(errors.New(strings.Repeat("x", 64<<10))).End()
+	cancel()
+	_ = l.Wait() // The cancellation.
+	is.True(out.Len() < 2<<10)
+	is.True(strings.Contains(out.String(), "(65536 bytes)"))
+}
--- a/internal/logger/line.go
+++ b/internal/logger/line.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxErrorBytes is the length to which the text of an error is cut.
+const maxErrorBytes = 1 << 10
+
 // Line is one log line under construction.
 type Line struct {
 	logger *Logger
@@ -64,12 +67,17 @@
 	return l
 }
 
-// Err adds the field "error", unless err is nil.
+// Err adds the field "error", unless err is nil. A text that is too long is cut, since it may
+// quote what another process wrote.
 func (l *Line) Err(err error) *Line {
 	if err == nil {
 		return l
 	}
-	return l.Str("error", err.Error())
+	text := err.Error()
+	if len(text) > maxErrorBytes {
+		text = text[:maxErrorBytes] + "... (" + strconv.Itoa(len(text)) + " bytes)"
+	}
+	return l.Str("error", text)
 }
 
 // End queues the line for writing. The line must not be used afterwards.
