storer,server: [fix] names of rows keep their slashes

Cause: Row.Name returned what follows the last slash. All its users have keys of the form table/part/name, so it returns what follows the part; the sink of the registry needs no own rule.

--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -65,7 +65,7 @@
 func (g *registrySink) Update(changes []storer.Change, version uint64) {
 	rows := make([]tracker.Row, 0, len(changes))
 	for _, c := range changes {
-		row := tracker.Row{ID: rowID(c.Key)}
+		row := tracker.Row{ID: c.Name()}
 		if !c.Removed {
 			row.Replica = g.decodeRow(c.Row)
 		}
@@ -107,17 +107,9 @@
 	}
 }
 
-// rowID returns the id of a row with a key of the form table/part/id. Unlike storer.Row.Name it
-// keeps slashes, so that the row "x/r1" is not taken for that of replica "r1".
-func rowID(key string) string {
-	_, rest, _ := strings.Cut(key, "/")
-	_, id, _ := strings.Cut(rest, "/")
-	return id
-}
-
 // decodeRow returns the replica of a row, or nil if the row is invalid.
 func (g *registrySink) decodeRow(r storer.Row) *tracker.Replica {
-	id := rowID(r.Key)
+	id := r.Name()
 	x, err := g.decode(id, r.Value)
 	switch {
 	case strings.Contains(id, "/"):
--- a/internal/storer/table.go
+++ b/internal/storer/table.go
@@ -12,8 +12,13 @@
 	Version uint64 `json:"version"`
 }
 
-// Name returns the last part of the row's key.
-func (r Row) Name() string { return r.Key[strings.LastIndexByte(r.Key, '/')+1:] }
+// Name returns what follows the table and the partition in the row's key. It may contain slashes
+// in a row of another writer.
+func (r Row) Name() string {
+	_, rest, _ := strings.Cut(r.Key, "/")
+	_, name, _ := strings.Cut(rest, "/")
+	return name
+}
 
 // Condition requires a row to have a version; version zero requires it to be absent.
 type Condition struct {
