--- a/internal/server/opening.go
+++ b/internal/server/opening.go
@@ -10,6 +10,7 @@
 
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/follower"
+	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
@@ -63,11 +64,13 @@
 	d := o.daemon
 	d.relayer.Start(o.lifetime)
 	follower.Start(ctx, d.relayer, &configSink{
-		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, logger: d.logger, outageLog: d.outageLog,
+		keeper: d.catalog, key: d.platform.CatalogKey, decode: d.platform.DecodeCatalog, logger: d.logger, outageLog: d.outageLog, ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows),
 	}, configOptions(d.platform.CatalogTable))
 	registry := &timedFeed{Feed: d.relayer}
 	follower.Start(ctx, registry, &registrySink{
 		tracker: d.tracker, feed: registry, decode: d.platform.DecodeReplica, logger: d.logger, outageLog: d.outageLog, peers: d.relayer,
+		own:     []string{d.options.ClientAddress, d.options.ReadyAddress, d.options.MetricsAddress, d.options.PeerAddress},
+		ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows),
 	}, registryOptions(d.platform.ReplicaTable))
 	follower.Start(ctx, d.relayer, d.isolator, crashOptions())
 }
