connector,forwarder: [fix] an id is sent only once on a connection

Callers that sent a request again with the id of a refused one could be told "not run, try again" (503) while a replica ran it, or it ran at a second replica: a faulty replica that writes its earlier refusal once more on a kept connection answers the second sending with it, and both carry the same id.

Cause: a response was believed if its id was that of the request. That identifies the request, but not the sending. Within one request of a client the daemon can't do this: the selector excludes the instances that were tried, and connections are pooled by instance. It takes a client that repeats an id.

Change: a connection remembers the hashes of the ids that were sent on it, and a request goes to another connection, or a new one, if its id is among them. At the limit of connections the least recently used idle one is closed for it. A connection is closed after 1024 requests, which bounds the memory to 8 KB. Closing the connection after each refusal was weighed instead: it costs a new connection for each refusal, and replicas refuse often while they are full.

Before, with the tests and the new field Call.ID but without the rule: connector TestAnEarlierResponseIsNotTakenForASecondSending: all 6 rows fail ("503 != 200", "421 != 200", "old != new") forwarder TestAnEarlierRefusalIsNotBelieved: all 6 rows fail ("1 != 0": answered as not run after a replica ran it) After: both pass, three times with -race. TestRefusalsKeepTheirConnection, 500 refusals of requests with an id each: 1 connection dialed and 499 reused, before and after. TestAConnectionRemembersALimitedNumberOfIDs: 1 connection for 2048 requests before, 2 after.

--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -35,6 +35,10 @@
 	// Process tells which connections lead to the process that the call is for. A connection to
 	// another process is not used; nil accepts any.
 	Process Process
+	// ID identifies the request in its response; empty if responses name no request. It is sent
+	// at most once on a connection: a faulty replica may write its response to an earlier
+	// request with the same ID again, which nothing distinguishes from the response to this one.
+	ID string
 	// Matches reports whether a response belongs to this request; nil accepts any.
 	Matches func(r *http.Response) bool
 }
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -33,6 +33,8 @@
 	lastUsed    time.Time
 	idleTimeout time.Duration
 	idleNamed   bool
+	// sent holds the IDs of the calls that were sent.
+	sent sentIDs
 	// brokenOff is set if the replica closed the connection while it was idle.
 	brokenOff bool
 }
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -126,7 +126,12 @@
 	c.mu.Lock()
 	p := c.pool(q.Instance)
 	p.lastUsed = now
-	x, stale := p.take(now, maxIdle, detoured, q.Process)
+	x, stale := p.take(now, maxIdle, detoured, q.Process, hashID(q.ID))
+	if x == nil && q.Limit > 0 && p.open-len(stale) >= q.Limit {
+		if s := p.dropOldest(); s != nil {
+			stale = append(stale, s)
+		}
+	}
 	p.open -= len(stale)
 	full := x == nil && q.Limit > 0 && p.open >= q.Limit
 	if x == nil && !full {
@@ -224,7 +229,7 @@
 	}
 	c.mu.Lock()
 	p := c.pools[instance]
-	reusable = reusable && x.reusable() && x.detoured == c.paths.cut(instance, time.Now())
+	reusable = reusable && x.reusable() && !x.sent.full() && x.detoured == c.paths.cut(instance, time.Now())
 	if reusable && p != nil && len(p.idle) < maxIdle {
 		x.lastUsed = time.Now()
 		p.idle = append(p.idle, x)
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -57,6 +57,7 @@
 		e.Close()
 		return nil, &Error{Cause: err}
 	}
+	x.sent.add(hashID(q.ID))
 	sent, err := e.send(q)
 	if err == nil {
 		stopCheck := e.checkIfSilent(q)
--- a/internal/connector/export_test.go
+++ b/internal/connector/export_test.go
@@ -36,10 +36,11 @@
 	return len(p.links)
 }
 
-// Times that tests wait for.
+// Times that tests wait for, and a bound that they reach.
 const (
 	ProbePeriod  = probePeriod
 	DetourPause  = detourPause
 	CutRetention = cutRetention
 	DetourDelay  = detourDelay
+	MaxRequests  = maxRequests
 )
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -20,20 +21,38 @@
 
 // take removes and returns the most recently used idle connection, or nil if none is
 // healthy, idle for less than maxIdle, and detoured or not as asked. Connections that are known
-// to lead to a process come first, unless that is nil. The caller must close the stale ones.
-func (p *pool) take(now time.Time, maxIdle time.Duration, detoured bool, owner Process) (found *conn, stale []*conn) {
-	for len(p.idle) > 0 {
+// to lead to a process come first, unless that is nil. Those on which the ID was sent before
+// stay idle. The caller must close the stale ones.
+func (p *pool) take(now time.Time, maxIdle time.Duration, detoured bool, owner Process, id idHash) (found *conn, stale []*conn) {
+	var passed []*conn
+	for found == nil && len(p.idle) > 0 {
 		if owner != nil {
 			p.prefer(owner)
 		}
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.lastUsed) < min(c.idleTimeout, maxIdle) && c.detoured == detoured && c.healthy() {
-			return c, stale
+		switch {
+		case now.Sub(c.lastUsed) >= min(c.idleTimeout, maxIdle) || c.detoured != detoured || !c.healthy():
+			stale = append(stale, c)
+		case c.sent.contains(id):
+			passed = append(passed, c)
+		default:
+			found = c
 		}
-		stale = append(stale, c)
 	}
-	return nil, stale
+	slices.Reverse(passed)
+	p.idle = append(p.idle, passed...)
+	return found, stale
+}
+
+// dropOldest removes and returns the least recently used idle connection, nil if there is none.
+func (p *pool) dropOldest() *conn {
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	return c
 }
 
 // prefer moves the most recently used connection that is known to lead to a process to the end
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -130,7 +130,7 @@
 	}
 	var a ResponseMetadata
 	e, err := f.conns.Do(ctx, &connector.Call{
-		Instance: c.Instance, Address: c.Replica.Address, Method: q.Method, Target: q.Target, Host: q.Host,
+		Instance: c.Instance, Address: c.Replica.Address, ID: q.ID, Method: q.Method, Target: q.Target, Host: q.Host,
 		Header: f.codec.EncodeRequest(q, meta), Body: body, Deadline: j.deadline, Limit: f.connectionLimit(j.service), Fresh: !j.route.Repeatable(), Detour: f.detour(c.Replica), Process: f.processOf(j, c),
 		Matches: func(r *http.Response) bool {
 			a = f.codec.DecodeResponse(r.StatusCode, r.Header)
