forwarder: [fix] only a response to the request itself names a limit

The limit of a replica ended for this daemon and its coordinator, or one began, because of a response to another request: an extra response without the header, or an earlier one from before a change.

Change: ReportLimit is called only if the id matches. The announcement of the end is still taken from any response of the replica's process, as TestALeavingReplicaGetsNoRequests asks: a replica that has begun to leave does not come back, so an earlier response is right about it.

Before: TestOnlyItsOwnResponseNamesALimit fails in both rows (0 limited replicas in place of 1, and 1 in place of 0). After: passes with -race. The fixture keeps its selector, so that a test can ask for the number of limited replicas.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -137,11 +137,14 @@
 			if a.Leaving && !a.Misdirected && c.ReportLeaving() {
 				f.logger.Event("forwarder", "replica leaving").Str("id", q.ID).Str("replica", c.Replica.ID).Str("instance", c.Instance).Int("status", r.StatusCode).End()
 			}
-			if !a.Misdirected && c.ReportLimit(a.Limit, a.HasLimit) {
+			// A response to an earlier request is right about the end of its replica. A limit
+			// may have changed since, and a response that belongs to no request names none.
+			own := a.RequestID == q.ID
+			if own && !a.Misdirected && c.ReportLimit(a.Limit, a.HasLimit) {
 				f.logger.Event("forwarder", "replica limit").Str("id", q.ID).Str("replica", c.Replica.ID).Str("instance", c.Instance).
 					Bool("limited", a.HasLimit).Float("rate", a.Limit).Float("before", c.Limit.Rate).End()
 			}
-			return a.RequestID == q.ID
+			return own
 		},
 	})
 	if err != nil {
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -68,13 +68,14 @@
 
 // fixture runs a forwarder in front of replicas with given behaviours.
 type fixture struct {
-	t         *testing.T
-	store     *emulator.Store
-	forwarder *forwarder.Forwarder
-	catalog   *cataloger.Keeper
-	tracker   *tracker.Tracker
-	server    *httptest.Server
-	replicas  []*tracker.Replica
+	t          *testing.T
+	store      *emulator.Store
+	forwarder  *forwarder.Forwarder
+	placements *selector.Selector
+	catalog    *cataloger.Keeper
+	tracker    *tracker.Tracker
+	server     *httptest.Server
+	replicas   []*tracker.Replica
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -120,8 +121,9 @@
 func (f *fixture) startForwarder(ctx context.Context) {
 	turns := archivist.New(f.store, archivist.Options{RowBytes: f.rowBytes, CacheBytes: 10_000, HistoryBytes: f.historyBytes})
 	lines := logger.Start(ctx, io.Discard)
+	f.placements = selector.Start(ctx, f.tracker, nil, lines, selector.Options{})
 	f.forwarder = forwarder.New(forwarder.Dependencies{
-		Catalog: f.catalog, Placements: selector.Start(ctx, f.tracker, nil, lines, selector.Options{}), Programs: granter.Start(ctx, turns, budgeter.Start(ctx, f.store, "me"), nil, lines, granter.Options{}), Logger: lines,
+		Catalog: f.catalog, Placements: f.placements, Programs: granter.Start(ctx, turns, budgeter.Start(ctx, f.store, "me"), nil, lines, granter.Options{}), Logger: lines,
 		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
 		Versions: versioner.Start(ctx, f.store), Connector: connector.New(),
 		Reports: testReports{}, Scope: tally.NoopScope, Codec: testCodec{},
