platform: [fix] a response that names several requests belongs to none

A response of a faulty replica with two different ids counted as that to the request whose id is first in it.

--- a/internal/forwarder/wire.go
+++ b/internal/forwarder/wire.go
@@ -19,7 +19,7 @@
 
 // ResponseMetadata is the metadata in the head of a replica's response.
 type ResponseMetadata struct {
-	// RequestID is the id of the answered request.
+	// RequestID is the id of the answered request, empty if the response names none or several.
 	RequestID string
 	// NotRun reports that the request did not run and will not run.
 	NotRun bool
