connector,forwarder: [fix] an extra response is not taken for a replica's report

A request that resumes a stream asks its replica for the report on the connection that it will use. Any response was taken for the report, also an extra one to an earlier request: its body then named another process or none, and the resumption was refused, or waited up to 1.2 s for the registry. The request did not run in these cases, so that no promise was broken.

Change: a response that names a request is not the report, since the request for the report has no id; it is skipped.

Before: TestACallReachesOnlyItsProcess fails in its two new rows (ErrOtherProcess in place of none and of an unexpected end). After: passes; packages platform, connector, forwarder and server pass with -race.

--- a/internal/connector/process.go
+++ b/internal/connector/process.go
@@ -45,6 +45,9 @@
 	Owns(opened time.Time) bool
 	// ReportTarget is the request target of the replica's report, empty for none.
 	ReportTarget() string
+	// IsReport reports whether a response may be the report. Extra responses to earlier requests
+	// on the connection are not.
+	IsReport(r *http.Response) bool
 	// Identify decodes a report that came on a connection which was opened at a time.
 	Identify(report []byte, opened time.Time) Identity
 	// Await waits for a limited time until Owns is true, and returns it.
@@ -108,7 +111,7 @@
 	}
 	e := c.newExchange(ctx, q, x, deadline)
 	if _, err = e.send(&Call{Method: http.MethodGet, Target: q.Process.ReportTarget(), Host: q.Address}); err == nil {
-		err = e.receive(&Call{Method: http.MethodGet})
+		err = e.receive(&Call{Method: http.MethodGet, Matches: q.Process.IsReport})
 	}
 	if err == nil && !isStream(e.Response) {
 		report, err = io.ReadAll(io.LimitReader(e, maxReportBytes))
--- a/internal/connector/process_test.go
+++ b/internal/connector/process_test.go
@@ -31,6 +31,8 @@
 
 func (p *testProcess) ReportTarget() string { return p.target }
 
+func (p *testProcess) IsReport(r *http.Response) bool { return r.Header.Get("Id") != "z" }
+
 func (p *testProcess) Identify(report []byte, _ time.Time) connector.Identity {
 	switch string(report) {
 	case "":
@@ -109,6 +111,8 @@
 		{"opened before", &testProcess{until: time.Now().Add(time.Hour), target: "/r"}, "", 1, nil, 0},
 		{"names itself", &testProcess{target: "/r", report: "7"}, response("7"), 2, nil, 0},
 		{"names another start", &testProcess{target: "/r", report: "7"}, response("8"), 1, connector.ErrOtherProcess, 0},
+		{"names itself after an extra response", &testProcess{target: "/r", report: "7"}, foreignResponse + response("7"), 2, nil, 0},
+		{"sends only an extra response", &testProcess{target: "/r", report: "7"}, foreignResponse + "close", 1, io.ErrUnexpectedEOF, 0},
 		{"names none, and the registry shows it", &testProcess{target: "/r", awaited: true}, response(""), 2, nil, 1},
 		{"names none, and the registry does not show it", &testProcess{target: "/r"}, response(""), 1, connector.ErrUnidentified, 1},
 		{"has no report", &testProcess{target: "/r", awaited: true}, "HTTP/1.1 404 Not Found\r\nContent-Length: 1\r\n\r\n7", 2, nil, 1},
--- a/internal/forwarder/process.go
+++ b/internal/forwarder/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/connector"
@@ -34,6 +35,7 @@
 type process struct {
 	choice  *selector.Choice
 	reports Reports
+	codec   Codec
 }
 
 // processOf returns the process that must run a request, or nil if any may: only a stream that
@@ -42,7 +44,7 @@
 	if j.originVersion == "" {
 		return nil
 	}
-	return &process{choice: c, reports: f.reports}
+	return &process{choice: c, reports: f.reports, codec: f.codec}
 }
 
 // Owns implements connector.Process. Few streams are resumed, so that asking the replica is
@@ -57,6 +59,11 @@
 	return p.reports.Target()
 }
 
+// IsReport implements connector.Process. The request for a report has no id.
+func (p *process) IsReport(r *http.Response) bool {
+	return p.codec.DecodeResponse(r.StatusCode, r.Header).RequestID == ""
+}
+
 // Identify implements connector.Process.
 func (p *process) Identify(report []byte, opened time.Time) connector.Identity {
 	started, named := p.reports.StartedMS(report)
