dispatcher,runner: [fix] each request to a target has a connection of its own

Cause: requests shared pooled connections, and responses of targets name no request. Only the chunks of a model stream carry an id; a refusal carries none. net/http closes an idle connection on which bytes have arrived, but not one on which they arrive with the next response. Service calls that must not be repeated had connections of their own already.

Change: connections to targets are not kept. Believing refusals only on new connections was weighed instead: a target that refuses on a kept one would then count as one that may have run the call, and a full engine refuses often.

--- a/internal/dispatcher/doc.go
+++ b/internal/dispatcher/doc.go
@@ -1,4 +1,4 @@
-// Package dispatcher sends calls to targets over HTTP.
+// Package dispatcher sends calls to targets over HTTP, each request on a connection of its own.
 //
 // The chunks of a model stream are numbered. A broken stream is resumed from the next
 // number. A stream without an end marker is an error, never a shorter answer.
--- a/internal/dispatcher/model.go
+++ b/internal/dispatcher/model.go
@@ -65,20 +65,19 @@
 	} `json:"usage"`
 }
 
-// Dispatcher sends calls to targets over pooled HTTP connections.
+// Dispatcher sends calls to targets, each request on a connection of its own: responses of
+// targets do not name their requests, so that an extra response on a connection in use again
+// would be taken for that to the next call.
 type Dispatcher struct {
 	client *http.Client
 }
 
-// New returns a dispatcher with its own connection pool.
+// New returns a dispatcher.
 func New() *Dispatcher {
-	tr := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true}
+	tr := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	return &Dispatcher{client: &http.Client{Transport: tr}}
 }
 
-// Close closes idle connections.
-func (d *Dispatcher) Close() { d.client.CloseIdleConnections() }
-
 // modelStream is a model stream in progress, which may span several HTTP responses.
 type modelStream struct {
 	request      ModelRequest
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -24,7 +24,7 @@
 	// no effect.
 	NotRunStatuses []int
 	// Valid reports whether the dispatch is still permitted. It is checked right before the
-	// first byte is sent, so a call with Valid uses a new connection of its own.
+	// first byte is sent.
 	Valid func() bool
 }
 
--- a/internal/runner/daemon.go
+++ b/internal/runner/daemon.go
@@ -221,7 +221,6 @@
 	_ = d.tomb.Wait()
 	d.pool.Close()
 	d.store.Close()
-	d.dispatcher.Close()
 }
 
 // acceptLoop runs the HTTP server for callers on one listener.
