connector: [test] extra responses of thirteen kinds before the next response

Guards what holds already: refusals without an id, several in a row, in chunks, 204 and 304, informational ones, halves, and responses around HEAD requests are skipped by their id, or the request counts as one that may have run.

--- a/internal/connector/repeated_test.go
+++ b/internal/connector/repeated_test.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"pimentorail.example/pimentorail/internal/connector"
 )
@@ -201,3 +203,55 @@
 	send(t, c, s.call(fmt.Sprint(n-1))) // The last id was the last one of its connection.
 	is.Equal(s.connections.Load(), int64(3))
 }
+
+// TestExtraResponsesBelongToNoOtherRequest guards against extra bytes on a connection in use again
+// that are taken for the response to the next request, or for a part of it. Where they can't be
+// told apart, the request may have run.
+func TestExtraResponsesBelongToNoOtherRequest(t *testing.T) {
+	refusal := withID("z", "503 Service Unavailable", "full")
+	rows := []struct {
+		name, method, extra string
+		failed              bool
+	}{
+		{"a refusal", http.MethodPost, refusal, false},
+		{"a refusal without an id", http.MethodPost, "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", false},
+		{"three refusals", http.MethodPost, refusal + refusal + refusal, false},
+		{"refusals without end", http.MethodPost, strings.Repeat(refusal, 9), true},
+		{"a refusal that closes the connection", http.MethodPost, "HTTP/1.1 503 Service Unavailable\r\nId: z\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", true},
+		{"a refusal in chunks", http.MethodPost, "HTTP/1.1 503 Service Unavailable\r\nId: z\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n", false},
+		{"a response without a body", http.MethodPost, "HTTP/1.1 204 No Content\r\nId: z\r\n\r\n", false},
+		{"an unchanged response", http.MethodGet, "HTTP/1.1 304 Not Modified\r\nId: z\r\nContent-Length: 9\r\n\r\n", false},
+		{"an informational response with the id", http.MethodPost, "HTTP/1.1 103 Early Hints\r\nId: a\r\n\r\n", false},
+		{"half a response", http.MethodPost, refusal[:len(refusal)-2], true},
+		{"the end of a body", http.MethodPost, "ull", true},
+		{"the response to a HEAD request", http.MethodGet, "HTTP/1.1 200 OK\r\nId: z\r\nContent-Length: 9999\r\n\r\n", true},
+		{"a body before the response to HEAD", http.MethodHead, refusal, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScriptedReplica(t, withID("b", "200 OK", "old"), row.extra+withID("a", "200 OK", map[bool]string{false: "new"}[row.method == http.MethodHead]))
+			c := connector.New()
+			defer c.Close()
+			send(t, c, s.call("b"))
+			q := s.call("a")
+			q.ID, q.Method, q.Deadline = "a", row.method, time.Now().Add(500*time.Millisecond)
+			e, err := c.Do(context.Background(), q)
+			var body []byte
+			if err == nil {
+				defer e.Close()
+				is.Equal(e.Response.StatusCode, http.StatusOK)
+				body, err = io.ReadAll(e)
+			}
+			is.Equal(err != nil, row.failed)
+			var f *connector.Error
+			switch {
+			case errors.As(err, &f):
+				is.True(f.Sent) // The request may have run.
+			case err == nil:
+				is.Equal(string(body), "new")
+			}
+			is.Equal(c.Counts().Dialed, int64(1))
+		})
+	}
+}
