--- a/internal/connector/doc.go
+++ b/internal/connector/doc.go
@@ -5,6 +5,10 @@
 // responses to earlier requests are skipped. A connection is reused only after a complete
 // exchange that left no unread bytes. The head of a response is bounded in size.
 //
+// A faulty replica may write an earlier response once more, at the point where the next one is
+// expected. The ID of a Call distinguishes that from its own response, and is therefore sent at
+// most once on a connection. A call whose ID was sent on all idle connections gets a new one.
+//
 // The link of this daemon to a replica may be cut while other daemons reach the replica. A
 // connection is then opened through a peer, if the Call has a Detour. What attempts showed of
 // the links decides which way is tried (paths); a replica that is silent while a request
--- a/internal/forwarder/doc.go
+++ b/internal/forwarder/doc.go
@@ -4,7 +4,9 @@
 //
 // It resolves the route, loads the program's history, reserves its budget, chooses a
 // replica and sends the request. It retries on another replica only if the route allows
-// a request to run twice or if the request did not run on the first replica. Responses are
+// a request to run twice or if the request did not run on the first replica. That it did not
+// run is believed only of a response that names the request, on a connection on which its id
+// was sent once. Responses are
 // forwarded unchanged. Events of a stream are forwarded as they arrive, but the stream of
 // a turn ends only after the store has acknowledged the turn. A Codec defines the names of
 // the headers.
