--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -138,18 +138,21 @@
 	}
 	var a ResponseMetadata
 	e, err := f.conns.Do(ctx, &connector.Call{
-		Instance: c.Instance, Address: c.Replica.Address, Method: q.Method, Target: q.Target, Host: q.Host,
+		Instance: c.Instance, Address: c.Replica.Address, ID: q.ID, Method: q.Method, Target: q.Target, Host: q.Host,
 		Header: f.codec.EncodeRequest(q, meta), Body: body, Deadline: j.deadline, Limit: f.connectionLimit(j.service), Fresh: !j.route.Repeatable(), Detour: f.detour(c.Replica), Process: f.processOf(j, c),
 		Matches: func(r *http.Response) bool {
 			a = f.codec.DecodeResponse(r.StatusCode, r.Header)
 			if a.Leaving && !a.Misdirected && c.ReportLeaving() {
 				f.logger.Event("forwarder", "replica leaving").Str("id", q.ID).Str("replica", c.Replica.ID).Str("instance", c.Instance).Int("status", r.StatusCode).End()
 			}
-			if !a.Misdirected && c.ReportLimit(a.Limit, a.HasLimit) {
+			// A response to an earlier request is right about the end of its replica. A limit
+			// may have changed since, and a response that belongs to no request names none.
+			own := a.RequestID == q.ID
+			if own && !a.Misdirected && c.ReportLimit(a.Limit, a.HasLimit) {
 				f.logger.Event("forwarder", "replica limit").Str("id", q.ID).Str("replica", c.Replica.ID).Str("instance", c.Instance).
 					Bool("limited", a.HasLimit).Float("rate", a.Limit).Float("before", c.Limit.Rate).End()
 			}
-			return a.RequestID == q.ID
+			return own
 		},
 	})
 	if err != nil {
