granter: [fix] a planned stop while requests close their grants ends with a panic

Drain waited on a sync.WaitGroup for the calls that close grants at other coordinators, while requests in progress began others: Add from zero beside Wait, which sync.WaitGroup forbids and answers with a panic, in a goroutine of its own. A stopping daemon then ended with status 2, and cut the requests that it had left.

The calls are counted by an atomic counter, and Drain looks at it every 10 ms. 5 of 5 runs pass with -race. The other WaitGroups of the daemon are local, and their Add comes before Wait or while another count is held.

--- a/internal/granter/grant.go
+++ b/internal/granter/grant.go
@@ -78,7 +78,7 @@
 
 func (c *closeCall) run() {
 	s := c.granter
-	defer s.pendingCloses.Done()
+	defer s.pendingCloses.Add(-1)
 	defer supervisor.Recover("granter: close of a grant")
 	backoff := closeBackoff
 	for attempt := 1; ; attempt++ {
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +30,8 @@
 	// expireMargin is the time from the end of a request until the tokens of its unclosed
 	// grant count as spent.
 	expireMargin = 5 * time.Second
+	// drainPoll is the time between two looks at the number of close calls.
+	drainPoll = 10 * time.Millisecond
 )
 
 // Turn describes a turn to open: the history that it continues and the tokens to reserve.
@@ -72,7 +73,7 @@
 	tomb          *tomb.Tomb
 	leaving       atomic.Bool
 	sequence      atomic.Int64
-	pendingCloses sync.WaitGroup
+	pendingCloses atomic.Int64
 
 	asked, missed, served atomic.Int64
 }
@@ -97,27 +98,17 @@
 func (s *Granter) Leave() { s.leaving.Store(true) }
 
 // Drain waits until the close calls to other coordinators are over or the context ends.
+// Requests in progress may begin others meanwhile, which a sync.WaitGroup does not allow.
 func (s *Granter) Drain(ctx context.Context) {
-	w := &drainWaiter{granter: s, done: make(chan struct{})}
-	go w.run()
-	select {
-	case <-w.done:
-	case <-ctx.Done():
+	for s.pendingCloses.Load() > 0 {
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-// drainWaiter closes done once all close calls are over.
-type drainWaiter struct {
-	granter *Granter
-	done    chan struct{}
-}
-
-func (w *drainWaiter) run() {
-	defer close(w.done)
-	defer supervisor.Recover("granter: drain")
-	w.granter.pendingCloses.Wait()
-}
-
 // run counts the tokens of grants that were not closed in time as spent.
 func (s *Granter) run() error {
 	for {
