--- a/internal/supervisor/loop.go
+++ b/internal/supervisor/loop.go
@@ -86,6 +86,6 @@
 func reportError(name string, err error) {
 	var p *PanicError
 	if err != nil && !errors.As(err, &p) {
-		reports.report(Failure{name: name, err: err})
+		ReportError(name, err)
 	}
 }
--- a/internal/supervisor/reports.go
+++ b/internal/supervisor/reports.go
@@ -67,6 +67,9 @@
 	return err
 }
 
+// ReportError reports an error that nobody else handles.
+func ReportError(name string, err error) { reports.report(Failure{name: name, err: err}) }
+
 // report passes a failure to the observers unless there were too many.
 func (r *registry) report(f Failure) {
 	list, ok := r.admit(&f, time.Now())
