storer,granter: [fix] a panic of the feed or of a reservation is an error

The guard returns a panic of List and Changes as an error too, so that followers report an outage and try again without a restart of their loops. A reservation that panics is an error of its turn: the history that is read beside it would have kept its memory for good. Test before, on:

TestReplyThatPanicsLeavesTheOutcomeOpen: panic: odd reply

--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -178,9 +178,11 @@
 }
 
 // reserve reserves a turn's tokens.
-func (s *Granter) reserve(ctx context.Context, t Turn, recall bool) error {
+func (s *Granter) reserve(ctx context.Context, t Turn, recall bool) (err error) {
+	// The caller releases the history after an error.
+	defer supervisor.Return("granter: reservation", &err)
 	began := time.Now()
-	err := s.budgets.Reserve(ctx, t.Program, t.Budget, t.Tokens)
+	err = s.budgets.Reserve(ctx, t.Program, t.Budget, t.Tokens)
 	var d *budgeter.Denial
 	if !recall || !errors.As(err, &d) {
 		return err
--- a/internal/storer/guard.go
+++ b/internal/storer/guard.go
@@ -90,17 +90,29 @@
 // List implements Feed.
 func (g *Guard) List(ctx context.Context, table string) ([]Row, uint64, error) {
 	g.lists.Add(1)
-	rows, version, err := g.feed.List(ctx, table)
+	r, err := protect(ctx, func(ctx context.Context) (r listed[Row], err error) {
+		r.list, r.version, err = g.feed.List(ctx, table)
+		return r, err
+	})
 	g.record(err)
-	return rows, version, err
+	return r.list, r.version, err
 }
 
 // Changes implements Feed.
 func (g *Guard) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]Change, uint64, error) {
 	g.changes.Add(1)
-	changes, version, err := g.feed.Changes(ctx, table, after, wait)
+	r, err := protect(ctx, func(ctx context.Context) (r listed[Change], err error) {
+		r.list, r.version, err = g.feed.Changes(ctx, table, after, wait)
+		return r, err
+	})
 	g.record(err)
-	return changes, version, err
+	return r.list, r.version, err
+}
+
+// listed is what a feed returns, with the version of the table.
+type listed[T any] struct {
+	list    []T
+	version uint64
 }
 
 // record updates the state of the whole store by the result of a call.
