--- a/internal/server/registryodd_test.go
+++ b/internal/server/registryodd_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"slices"
 	"strconv"
 	"strings"
@@ -106,6 +107,42 @@
 	})
 }
 
+// An odd row in a list, or in the place of the row of a replica that leaves, made other replicas
+// unknown, or the one that leaves usable again.
+func TestOddRowsInAListAndWhileDraining(t *testing.T) {
+	followRegistry(t, nil, func(w *registryWorld) {
+		w.put("r0", 1, false)
+		w.put("r1", 1, false)
+		w.write("replicas//odd", []byte("{"), false)
+		w.settle()
+		w.is.Equal(w.usable(), "r0 r1")
+		w.put("r1", 2, true)
+		w.settle()
+		w.is.Equal(w.usable(), "r0")
+		for sequence := range int64(3) {
+			w.write("replicas//r1", []byte("{"), false)
+			w.settle()
+			w.is.Equal(w.usable(), "r0")
+			w.put("r1", 3+sequence, true)
+			w.settle()
+			w.is.Equal(w.usable(), "r0")
+		}
+		rows, version, err := w.store.List(context.Background(), "replicas")
+		w.is.NoErr(err)
+		w.is.Equal(len(rows), 3)
+		other := tracker.New(tracker.Options{OutageGrace: server.OutageGrace})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		sink := server.NewRegistrySink(other, decodeReplica, logger.Start(ctx, io.Discard))
+		for range 2 { // The second is a list after others.
+			sink.Replace(rows, version)
+			w.is.Equal(len(other.Usable("s")), 1)
+			w.is.True(other.Find("odd") == nil)
+			w.is.True(other.Find("r1").Draining)
+		}
+	})
+}
+
 // A row whose key has a further slash was taken for the row of the replica named after the slash.
 func TestARowWithASlashInItsIDIsNotThatOfAnotherReplica(t *testing.T) {
 	followRegistry(t, nil, func(w *registryWorld) {
