logger: [fix] the queue of an output that nobody reads is bounded in bytes

Callers would see a process grow beyond its memory while its output blocks. Cause: 2,048 lines may wait, and a line holds values of clients as long as a header, 64 KB: 128 MB on a VM of 112 MB. Suspected, not seen on a process. Change: lines that wait hold 1 MB at most; more are dropped and counted.

Result: TestLongLinesThatWaitAreBounded failed before (2,000 lines of 64 KB, none dropped) and passes now; go test -race ./internal/logger passes, three times.

--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -13,6 +13,9 @@
 
 const (
 	maxQueuedLines = 2048
+	// maxQueuedBytes allows for 2,048 lines of 512 bytes. Lines hold values of clients, of up to
+	// the size of a header.
+	maxQueuedBytes = 1 << 20
 	flushPeriod    = 50 * time.Millisecond
 	maxBatchBytes  = 64 << 10
 )
@@ -25,6 +28,8 @@
 	queue   chan *Line
 	pool    sync.Pool
 	dropped atomic.Int64
+	// queuedBytes is the size of the queued lines.
+	queuedBytes atomic.Int64
 	// unwritten is the number of lines that the writer did not take.
 	unwritten atomic.Int64
 	// droppedReported and unwrittenReported are the counts that were last written.
@@ -78,12 +83,16 @@
 
 func (r *Logger) enqueue(l *Line) {
 	l.text = append(l.text, '\n')
-	select {
-	case r.queue <- l:
-	default:
-		r.dropped.Add(1)
-		r.pool.Put(l)
+	if r.queuedBytes.Add(int64(len(l.text))) <= maxQueuedBytes {
+		select {
+		case r.queue <- l:
+			return
+		default:
+		}
 	}
+	r.queuedBytes.Add(-int64(len(l.text)))
+	r.dropped.Add(1)
+	r.pool.Put(l)
 }
 
 func (r *Logger) run() error {
@@ -162,17 +171,21 @@
 
 // appendQueued appends a line and the lines queued after it, up to the size of a batch.
 func (r *Logger) appendQueued(batch []byte, l *Line) []byte {
+	return r.drain(r.appendLine(batch, l))
+}
+
+func (r *Logger) appendLine(batch []byte, l *Line) []byte {
+	r.queuedBytes.Add(-int64(len(l.text)))
 	batch = append(batch, l.text...)
 	r.pool.Put(l)
-	return r.drain(batch)
+	return batch
 }
 
 func (r *Logger) drain(batch []byte) []byte {
 	for len(batch) < maxBatchBytes {
 		select {
 		case l := <-r.queue:
-			batch = append(batch, l.text...)
-			r.pool.Put(l)
+			batch = r.appendLine(batch, l)
 		default:
 			return batch
 		}
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -186,3 +186,30 @@
 		is.Equal(s.lines()[0][13:], `library: message text="two words"`)
 	})
 }
+
+// TestLongLinesThatWaitAreBounded guards against a process that grows beyond its memory because
+// nobody reads its output while clients send long values that are logged.
+func TestLongLinesThatWaitAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &blockingWriter{unblocked: make(chan struct{})}
+		ctx, cancel := context.WithCancel(context.Background())
+		r := logger.Start(ctx, s)
+		const lines, length = 2000, 64 << 10
+		value := strings.Repeat("x", length)
+		for range lines {
+			r.Event("part", "happened").Str("id", value).End()
+		}
+		is.True(r.Dropped() > 0)
+		waiting := (lines - int(r.Dropped())) * length
+		is.True(waiting <= 2<<20) // A fiftieth of the memory of the smallest VM.
+		close(s.unblocked)
+		time.Sleep(time.Minute)
+		dropped := r.Dropped()
+		r.Event("part", "after").Str("id", value).End()
+		time.Sleep(time.Second)
+		is.Equal(r.Dropped(), dropped) // Lines that are written make room.
+		cancel()
+		_ = r.Wait()
+	})
+}
