--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -132,6 +132,10 @@
 	if o.RedirectLibraries != nil {
 		o.RedirectLibraries(e.logger.Writer("library"))
 	}
+	if ctx.Err() != nil {
+		logSignal(e.logger, context.Cause(ctx).Error())
+		return e.report(plannedStop, nil)
+	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	d := newDaemon(runCtx, o, p, e.logger)
@@ -139,7 +143,7 @@
 	d.start(runCtx)
 	select {
 	case <-ctx.Done():
-		d.logger.Event("server", "signal").Str("name", context.Cause(ctx).Error()).End()
+		logSignal(d.logger, context.Cause(ctx).Error())
 	case <-d.tomb.Dying():
 	}
 	d.stop()
@@ -147,6 +151,9 @@
 	switch err := d.tomb.Wait(); {
 	case err == nil || errors.Is(err, context.Canceled):
 		return e.report(plannedStop, nil)
+	case !d.listening.Load() && ctx.Err() != nil:
+		_ = e.report(plannedStop, err) // It was told to stop, so that the failure makes no difference.
+		return nil
 	case !d.listening.Load():
 		return e.report(startFailed, err)
 	default:
@@ -204,10 +211,8 @@
 	if d.options.MetricsAddress != "" {
 		d.metricsServer = d.newServer(d.metrics.Handler())
 	}
+	d.tomb.Go(supervisor.Loop(d.tomb, "server: signals", (&signalLoop{daemon: d}).run))
 	d.tomb.Go(supervisor.Loop(d.tomb, "server: housekeeping", d.run))
-	if d.options.Reload != nil {
-		d.tomb.Go(supervisor.Loop(d.tomb, "server: reloader", (&reloader{daemon: d}).run))
-	}
 	d.tomb.Go((&opening{daemon: d, lifetime: runCtx}).run)
 }
 
