server: [test] the daemon of a test reads its lines for the address that it waits for

Cause: after the merge of the parts, the daemon that survives panics had no reader of its lines, which the fixture needs to tell whether it listens. Change: its lines go to both; the supervised loop that reloads settings has another name since signals have one loop.

--- a/internal/server/panic_test.go
+++ b/internal/server/panic_test.go
@@ -108,11 +108,14 @@
 	out := &lines{}
 	var d *daemon
 	for d == nil || !d.waitUntilListening() {
+		if d != nil {
+			_ = d.stop()
+		}
 		ctx, cancel := context.WithCancel(context.Background())
-		d = &daemon{t: t, store: emulator.NewStore(), front: freeAddress(t), ready: freeAddress(t), cancel: cancel, ended: make(chan error, 1)}
+		d = &daemon{t: t, store: emulator.NewStore(), front: freeAddress(t), ready: freeAddress(t), cancel: cancel, ended: make(chan error, 1), lines: &lineFinder{found: make(chan string, 1)}}
 		go d.run(ctx, server.Options{
 			Name: "d-1", VM: "d", Zone: "z", Zones: 1, ClientAddress: d.front, ReadyAddress: d.ready, ReadyPath: "/ready",
-			Grace: 3 * time.Second, RowBytes: 1000, MemoryBytes: 64 << 20, Output: out, Signals: server.Signals{Reloads: reloads}, Reload: func() error { panic("odd settings") },
+			Grace: 3 * time.Second, RowBytes: 1000, MemoryBytes: 64 << 20, Output: io.MultiWriter(d.lines, out), Signals: server.Signals{Reloads: reloads}, Reload: func() error { panic("odd settings") },
 		}, server.Platform{
 			Table: d.store, Feed: d.store, Codec: plainCodec{}, CatalogTable: "config", CatalogKey: "all", DecodeCatalog: decodeCatalog,
 			ReplicaTable: "replicas", DecodeReplica: decodeReplica,
@@ -125,7 +128,7 @@
 	d.await("http://"+d.ready+"/ready", 200, "")
 	for range 2 {
 		reloads <- os.Interrupt
-		out.await("server: recovered", "odd settings", "reloader")
+		out.await("server: recovered", "odd settings", "server: signals")
 		status, _ := get("http://" + d.front + "/panic")
 		is.Equal(status, 0) // A closed connection promises nothing.
 		out.await("server: recovered", "odd request", "panickyIngress")
