--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -67,7 +67,7 @@
 func TestAWaitEndsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var err error = opError("bind", syscall.EADDRINUSE)
+		err := opError("bind", syscall.EADDRINUSE)
 		a := acceptor.New(context.Background(), func(context.Context, string) (net.Listener, error) { return nil, err }, &record{})
 		ctx, cancel := context.WithCancel(context.Background())
 		began := time.Now()
