signaler,main: [fix] an output without a reader and SIGHUP end no pimentorail daemon

Callers of `pimentorail daemon` would lose the process, and the requests in progress, at its next log line after the reader of its standard error had ended, or when its terminal hung up. Cause: the same as for serve, where signaler handles these signals; other commands got the default reaction back, the daemon among them. Change: a command names the signals that it leaves to the default; for the daemon that is only SIGQUIT.

--- a/cmd/pimentorail/main.go
+++ b/cmd/pimentorail/main.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -28,8 +29,23 @@
 	exitSettings       = 7
 )
 
-// serveName is the name of the command that handles all signals itself.
-const serveName = "serve"
+// Commands of the daemons, which run until they are told to stop.
+const (
+	serveName  = "serve"
+	daemonName = "daemon <settings>"
+)
+
+// unhandledSignals returns the signals to which a command reacts as any process does. A daemon
+// is not ended by SIGHUP or by an output whose reader has ended.
+func unhandledSignals(command string) []os.Signal {
+	switch command {
+	case serveName:
+		return nil
+	case daemonName:
+		return []os.Signal{syscall.SIGQUIT}
+	}
+	return []os.Signal{syscall.SIGHUP, syscall.SIGQUIT, syscall.SIGPIPE}
+}
 
 var errBrokenPromises = errors.New("the report lists broken promises")
 
@@ -76,9 +92,7 @@
 		os.Exit(exitUsage)
 	}
 	setLogging(c.Verbosity)
-	if run.Command() != serveName {
-		signaler.Reset()
-	}
+	signaler.Reset(unhandledSignals(run.Command())...)
 	// The signals stay handled until the process exits, so that one in its last millisecond does
 	// not change its exit code.
 	run.BindTo(signaler.Context(), (*context.Context)(nil))
--- a/internal/signaler/doc.go
+++ b/internal/signaler/doc.go
@@ -9,5 +9,5 @@
 // import would delay it.
 //
 // It is imported by package main alone, since the import changes how the process reacts to
-// signals. Commands other than daemons call Reset.
+// signals. A command calls Reset for the signals that it doesn't handle.
 package signaler
--- a/internal/signaler/signaler.go
+++ b/internal/signaler/signaler.go
@@ -71,15 +71,29 @@
 // Dumps returns the channel of SIGQUIT.
 func Dumps() <-chan os.Signal { return process.dumps }
 
-// Reset restores the default reaction to SIGHUP, SIGQUIT and SIGPIPE. SIGHUP and SIGQUIT that
-// came before have their effect then.
-func Reset() {
-	signal.Reset(syscall.SIGHUP, syscall.SIGQUIT, syscall.SIGPIPE)
-	for _, c := range []chan os.Signal{process.reloads, process.dumps} {
+// Reset restores the default reaction to signals. SIGHUP and SIGQUIT among them that came before
+// have their effect then.
+func Reset(list ...os.Signal) {
+	if len(list) == 0 {
+		return // signal.Reset would reset all of them.
+	}
+	signal.Reset(list...)
+	for _, s := range list {
 		select {
-		case s := <-c:
+		case <-process.pending(s):
 			_ = syscall.Kill(syscall.Getpid(), s.(syscall.Signal)) // The process may always signal itself.
 		default:
 		}
 	}
 }
+
+// pending returns the channel of a signal that came before the process reacts to it, nil for others.
+func (r *receiver) pending(s os.Signal) chan os.Signal {
+	switch s {
+	case syscall.SIGHUP:
+		return r.reloads
+	case syscall.SIGQUIT:
+		return r.dumps
+	}
+	return nil
+}
