tunneler: [fix] an invalid status is no answer of a peer

TestPeersThatDoNotAnswerDoNotHideACrash failed at times beside load, most often "killed and frozen, in two zones" (false != true): 7 of 128 plays of this row and 1 of 320 of "killed" (16 copies of the binary, load 30 to 50 on 8 cores).

Each of these eight plays shows an inquiry with an answer of the status "invalid": the byte that was read is no status. The peer is killed, and its port belongs to something else by then: a listener of another play, or the dialing socket itself. The answer counted as a peer that can't tell, so the end of the replica was not confirmed. In a deployment this happens if another process listens at the address of a killed daemon: crashes stay hidden, and a request that crashes replicas is sent on.

readStatus now returns an error for a byte that is no status, so that the peer is silent. A later build that adds a status has to consider that this one takes it for silence.

TestAnAnswerThatIsNoStatusIsSilence failed in all four rows before and passes.

--- a/internal/tunneler/ended_test.go
+++ b/internal/tunneler/ended_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -116,3 +118,40 @@
 	}
 	is.True(!f.tunneler().Ended(context.Background(), f.replica, sole))
 }
+
+// foreign is a process that listens at the address of a killed peer, and answers in its own way.
+type foreign struct {
+	listener net.Listener
+	answer   string
+}
+
+func (f foreign) run() {
+	for {
+		c, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, f.answer)
+		_ = c.Close()
+	}
+}
+
+// Another process at the address of a killed peer, or a connection of the dialer to itself,
+// counted as a peer that can't tell, and hid a crash.
+func TestAnAnswerThatIsNoStatusIsSilence(t *testing.T) {
+	for _, answer := range []string{"HTTP/1.1 400 Bad Request", `{"id":"me.1","replica":"r"}`, "\x00", "\xff"} {
+		t.Run(answer, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, 2, 0)
+			for i, n := range f.network.zone {
+				n.kill()
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				t.Cleanup(func() { _ = l.Close() })
+				f.network.zone[i] = &node{name: n.name, listener: l}
+				go foreign{l, answer}.run()
+			}
+			is.True(f.tunneler().Ended(context.Background(), f.replica, reach(true).check))
+		})
+	}
+}
--- a/internal/tunneler/header.go
+++ b/internal/tunneler/header.go
@@ -63,16 +63,27 @@
 
 var statusNames = [...]string{connected: "connected", refused: "refused", unreached: "unreached", cutOff: "cut-off", unknown: "unknown", busy: "busy"}
 
+// isValid reports whether peers give the status.
+func (s status) isValid() bool { return int(s) < len(statusNames) && statusNames[s] != "" }
+
 // String returns the name used in logs and errors.
 func (s status) String() string {
-	if int(s) >= len(statusNames) || statusNames[s] == "" {
+	if !s.isValid() {
 		return "invalid"
 	}
 	return statusNames[s]
 }
 
+// readStatus reads the status. Any other byte is no answer of a peer: another process may listen
+// at the address of one that has ended.
 func readStatus(c net.Conn) (status, error) {
 	var b [1]byte
-	_, err := io.ReadFull(c, b[:])
-	return status(b[0]), errors.Wrap(err, "read status of a tunnel")
+	if _, err := io.ReadFull(c, b[:]); err != nil {
+		return 0, errors.Wrap(err, "read status of a tunnel")
+	}
+	s := status(b[0])
+	if !s.isValid() {
+		return s, errors.Errorf("status %d of a tunnel is invalid", b[0])
+	}
+	return s, nil
 }
