tunneler: [fix] answers that are there at the timeout count

An inquiry of a daemon that waits for a processor finds its timeout and the answers of peers at the same moment, and picked one of them at random. With the timeout it passed over what was known: a peer that reaches the replica did not contradict, so a crash was counted that was none, or the daemon did not know that it reaches other replicas, and a crash stayed hidden.

Seen in a trace of TestPeersThatDoNotAnswerDoNotHideACrash and TestEndedReplicasAreToldFromCutLinks with -race (16 copies, load 50 on 8 cores): about 35 of 190 inquiries that timed out had one to four answers, or the result of their own check, unread. It is one of several causes of these failures; the plays themselves were not told apart by it.

The inquiry now reads what is there before it ends. TestAnswersAtTheTimeoutCount fails without that (20 of 20 plays) and passes (300 of 300 with -race).

--- a/internal/tunneler/ended_test.go
+++ b/internal/tunneler/ended_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"pimentorail.example/pimentorail/internal/tunneler"
 )
 
 // checkTimeout is how long package isolator waits for the answer.
@@ -155,3 +157,14 @@
 		})
 	}
 }
+
+// A daemon that waited for a processor until the timeout passed over answers that were there, and
+// counted a crash that a peer contradicts, or missed one.
+func TestAnswersAtTheTimeoutCount(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 0, 0)
+	u := f.tunneler()
+	for range 64 { // Each time either event may be found first.
+		is.True(tunneler.ContradictedAtTimeout(u, f.replica))
+	}
+}
--- a/internal/tunneler/inquiry.go
+++ b/internal/tunneler/inquiry.go
@@ -72,11 +72,27 @@
 		case r := <-q.reached:
 			e.reaches, e.others, checked = r.reached, r.others, true
 		case <-ctx.Done():
+			q.collect(&e)
 			return e
 		}
 	}
 }
 
+// collect adds what was found before the timeout and not noted yet. A daemon that waited for a
+// processor finds the answers and the timeout at the same moment.
+func (q *inquiry) collect(e *evidence) {
+	for {
+		select {
+		case a := <-q.answers:
+			q.note(e, a)
+		case r := <-q.reached:
+			e.reaches, e.others = r.reached, r.others
+		default:
+			return
+		}
+	}
+}
+
 // askFurther asks more peers, none of which may answer either, and checks meanwhile whether
 // this daemon is cut off itself.
 func (q *inquiry) askFurther(ctx context.Context, peers []assigner.Peer) int {
