forwarder: [fix] a stream is recorded only for a process that wrote a row after its connection

Callers could get a stream joined from two versions: a replica's next process, of another version, wrote its first row late, and a stream that began there was recorded under the version of the process before. The client that resumed it was sent to a replica of that older version.

The record took a read of the registry that began 0.3 s after the connection was opened as proof. A row stays while the next process cannot write its own, so that such a read proves nothing. The record now waits, at most 4 s as before, until the instance wrote a row after the connection was opened, as a resumption already does. Ruled out: the resumption itself, which asks the replica for its start on the connection or needs such a row.

A stream on a connection that is younger than about two rows of its replica can be resumed later than before.

--- a/internal/forwarder/resumption_test.go
+++ b/internal/forwarder/resumption_test.go
@@ -282,3 +282,29 @@
 	is.Equal(f.resume(stream).status, http.StatusOK)
 	is.Equal(f.reportsAsked(), 0) // The replica has written a row since the connection was opened.
 }
+
+// The next process at a replica's address wrote its first row late. A stream that began there was
+// recorded under the version of the process before, whose row was still read, and resumed there.
+func TestAStreamIsNotRecordedByTheRowOfAnEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	f := newVersionedFixture(t, "v1", "v1")
+	f.setVersions("v1", "")
+	f.registry.stop()
+	f.startForwarder(context.Background())
+	began := f.beginStreams(4) // At another process than that of the row.
+	for range 4 {
+		time.Sleep(200 * time.Millisecond)
+		start := time.Now()
+		f.tracker.Update(nil, time.Now())
+		f.tracker.ReadCompleted(start)
+	}
+	f.restart(0, "v2") // Its row is written.
+	other := *f.replicas[1]
+	other.Version, other.StartedMS = "v1", time.Now().UnixMilli()
+	f.putRows(tracker.Row{ID: "1", Replica: &other})
+	time.Sleep(100 * time.Millisecond)
+	for stream := range began {
+		is.Equal(f.resume(stream).status, http.StatusServiceUnavailable)
+	}
+	is.Equal(len(f.received()), len(began))
+}
--- a/internal/tracker/process.go
+++ b/internal/tracker/process.go
@@ -89,13 +89,25 @@
 // AwaitOwned waits until Owns is true, the instance is replaced or the context ends, and
 // returns Owns.
 func (t *Tracker) AwaitOwned(ctx context.Context, r *Replica, opened time.Time) bool {
+	return t.await(ctx, r, func(c *confirmation) bool { return c.owns(opened) })
+}
+
+// AwaitOutlived waits until Outlived is true, the instance is replaced or the context ends, and
+// returns Outlived.
+func (t *Tracker) AwaitOutlived(ctx context.Context, r *Replica, opened time.Time) bool {
+	return t.await(ctx, r, func(c *confirmation) bool { return c.outlived(opened) })
+}
+
+// await waits until the confirmation of an instance meets a condition, and returns false if the
+// instance is replaced or the context ends before.
+func (t *Tracker) await(ctx context.Context, r *Replica, met func(*confirmation) bool) bool {
 	for {
 		t.mu.RLock()
 		e, next := t.entryOf(r), t.confirmed
-		owned := e != nil && e.confirmation.owns(opened)
+		ok := e != nil && met(&e.confirmation)
 		t.mu.RUnlock()
-		if owned || e == nil {
-			return owned
+		if ok || e == nil {
+			return ok
 		}
 		select {
 		case <-next:
