forwarder: [fix] a request that names a stream resumes it, whatever the configuration says

A daemon whose configuration is older than a stream may match the request with a route that resumes no streams, or that has no streams at all. It took the resumption for a new request and sent it, with the last event's id, to any version: the client got a stream joined from two versions, 200.

The request alone tells that it resumes a stream. One that names the stream's request, or gives a last event on a route with streams, goes to the recorded version or is refused.

--- a/internal/forwarder/resumption.go
+++ b/internal/forwarder/resumption.go
@@ -10,10 +10,11 @@
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
-// resumes reports whether the request resumes a stream.
+// resumes reports whether the request resumes a stream. The request alone tells: a daemon whose
+// configuration is older than the stream may know its route as one that resumes none.
 func (j *job) resumes() bool {
 	q := j.request
-	return j.route.Kind == cataloger.Streaming && j.route.Resumable && (q.LastEventID != "" || q.Resumes != "")
+	return q.Resumes != "" || j.route.Kind == cataloger.Streaming && q.LastEventID != ""
 }
 
 // stream returns the stream that a request of the same caller began.
--- a/internal/forwarder/resumption_test.go
+++ b/internal/forwarder/resumption_test.go
@@ -283,6 +283,29 @@
 	is.Equal(f.reportsAsked(), 0) // The replica has written a row since the connection was opened.
 }
 
+// A daemon whose configuration did not yet let the route resume streams took a resumption for a
+// new request, and the stream went on at any version.
+func TestAResumptionIsNoNewRequestUnderAnOlderConfiguration(t *testing.T) {
+	for _, kind := range []cataloger.Kind{cataloger.Streaming, cataloger.Unsafe} {
+		is := is.New(t)
+		f := newVersionedFixture(t, "v1", "v2")
+		began := f.beginStreams(12)
+		time.Sleep(recordTime)
+		f.startForwarder(context.Background())
+		r := &cataloger.Route{Name: "all", Host: "h", Prefix: "/", Kind: kind, MaxRuns: 1, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, Timeout: 20 * time.Second}
+		f.catalog = &cataloger.Keeper{}
+		f.catalog.Apply(cataloger.New(1, []*cataloger.Route{r}, []*cataloger.Service{{Name: "s"}}, cataloger.Limits{}))
+		f.startForwarder(context.Background())
+		for stream, replica := range began {
+			f.resume(stream)
+			is.Equal(f.lastArrival().replica, replica)
+		}
+		arrived := len(f.received())
+		is.Equal(f.resume("nobody's").status, http.StatusServiceUnavailable)
+		is.Equal(len(f.received()), arrived)
+	}
+}
+
 // The next process at a replica's address wrote its first row late. A stream that began there was
 // recorded under the version of the process before, whose row was still read, and resumed there.
 func TestAStreamIsNotRecordedByTheRowOfAnEarlierProcess(t *testing.T) {
