forwarder,tracker,versioner,server: [fix] an old view of the registry refuses no stream for good

A daemon that stood still, or did not read the registry, while replicas of a new version joined told clients that no replica had the version of their stream: 503, code 4007, no time to come back. That ended streams whose version was serving.

Such an answer needs a view of the replicas that is as new as the stream. The store's versions tell: the replica's row is older than the record of the stream, so a registry read as of the record's version or a later one shows the replica unless it is gone. A read that began after the request arrived does as well.

Find of package versioner returns the store's version with the origin; its tests compare the origin as before.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -125,6 +125,8 @@
 	// originVersion is the version to which the request is restricted because it resumes a
 	// stream that began there, empty for any.
 	originVersion string
+	// recordVersion is the version of the store at which that stream's origin was recorded.
+	recordVersion uint64
 	// deadline is the earlier of the client's and the route's deadline.
 	deadline time.Time
 	work     ranker.Work
--- a/internal/forwarder/resumption.go
+++ b/internal/forwarder/resumption.go
@@ -28,18 +28,18 @@
 	if !j.resumes() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.options.StoreTimeout)
+	findCtx, cancel := context.WithTimeout(ctx, f.options.StoreTimeout)
 	defer cancel()
-	o, found, err := f.versions.Find(ctx, j.request.stream(j.request.Resumes))
+	o, found, err := f.versions.Find(findCtx, j.request.stream(j.request.Resumes))
 	if err != nil {
 		return classifier.New(classifier.StoreAway, classifier.RanNo, "find where the stream began: %v", err).After(withJitter(f.options.OutageRetryAfter))
 	}
-	fault := f.restrictToOrigin(j, o, found)
+	fault := f.restrictToOrigin(ctx, j, o, found)
 	f.meter.countResumption(fault == nil)
 	return fault
 }
 
-func (f *Forwarder) restrictToOrigin(j *job, o versioner.Origin, found bool) *classifier.Fault {
+func (f *Forwarder) restrictToOrigin(ctx context.Context, j *job, o versioner.Recorded, found bool) *classifier.Fault {
 	if !found {
 		return classifier.New(classifier.CannotResume, classifier.RanNo, "it is not recorded where the stream of request %q began", j.request.Resumes)
 	}
@@ -47,15 +47,37 @@
 	if s == nil || !j.route.LeadsTo(o.Service) {
 		return classifier.New(classifier.CannotResume, classifier.RanNo, "the stream of request %q began at service %q, to which route %q does not lead now", j.request.Resumes, o.Service, j.route.Name)
 	}
-	j.service, j.originVersion = s, o.Version
-	return f.refuseWithoutOrigin(j)
+	j.service, j.originVersion, j.recordVersion = s, o.Version, o.StoreVersion
+	return f.awaitOrigin(ctx, j)
+}
+
+// lacksOrigin reports whether other replicas of the service are known, but none of the version
+// at which the stream began.
+func (f *Forwarder) lacksOrigin(j *job) bool {
+	s, v := j.service.Name, j.originVersion
+	return v != "" && !f.placements.Serves(s, v) && f.placements.Serves(s, "")
+}
+
+// awaitOrigin returns a fault if no replica of the version at which the stream began is known.
+// If the registry was last read before the stream began, such replicas may have joined since.
+// The request waits for the next read then, and its client comes back if there is none in time.
+func (f *Forwarder) awaitOrigin(ctx context.Context, j *job) *classifier.Fault {
+	if !f.lacksOrigin(j) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, resumptionWait)
+	defer cancel()
+	if f.placements.AwaitCovered(ctx, j.recordVersion, j.request.Arrived) || !f.lacksOrigin(j) {
+		return f.refuseWithoutOrigin(j)
+	}
+	return classifier.New(classifier.StoreAway, classifier.RanNo, "the replicas of service %q have not been read since the stream of request %q began at version %q", j.service.Name, j.request.Resumes, j.originVersion).After(withJitter(f.options.OutageRetryAfter))
 }
 
 // refuseWithoutOrigin returns a fault if no replica of the version at which the stream began
 // is left. The client is not asked to come back, since that version does not.
 func (f *Forwarder) refuseWithoutOrigin(j *job) *classifier.Fault {
 	s, v := j.service.Name, j.originVersion
-	if v == "" || f.placements.Serves(s, v) || !f.placements.Serves(s, "") {
+	if !f.lacksOrigin(j) || !f.placements.Covers(j.recordVersion, j.request.Arrived) {
 		return nil
 	}
 	return classifier.New(classifier.CannotResume, classifier.RanNo, "no replica of service %q has version %q, at which the stream of request %q began", s, v, j.request.Resumes)
--- a/internal/forwarder/resumption_test.go
+++ b/internal/forwarder/resumption_test.go
@@ -14,6 +14,7 @@
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/emulator"
 	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/versioner"
 )
 
 // recordTime is more than a fixture takes to record a stream: its registry is read again, and
@@ -331,3 +332,37 @@
 	}
 	is.Equal(len(f.received()), len(began))
 }
+
+// recordAtOther records that a stream began at a version, as another daemon does.
+func (f *fixture) recordAtOther(stream, version string) {
+	f.t.Helper()
+	v := versioner.Start(f.t.Context(), f.store)
+	v.Record(versioner.Stream{Hostname: "h", RequestID: stream}, versioner.Origin{Service: "s", Version: version})
+	for range 100 {
+		if recorded, _ := v.Counts(); recorded == 1 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.t.Fatal("the origin of the stream is not recorded")
+}
+
+// A daemon that had not read the registry since replicas of a new version joined told clients for
+// good that no replica had the version of their stream.
+func TestAnOldViewDoesNotRefuseAStreamForGood(t *testing.T) {
+	is := is.New(t)
+	f := newVersionedFixture(t, "v1", "v1")
+	f.registry.stop()
+	f.recordAtOther("1", "v2")
+	r := f.resume("1")
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(r.body, `"ran":"no"`))
+	is.True(strings.Contains(r.body, `"code":3001`))
+	is.True(r.header.Get("Retry-After") != "")
+	is.Equal(len(f.received()), 0)
+	f.restart(1, "v2")
+	f.startRegistry(300 * time.Millisecond)
+	f.resume("1") // It waits for the read.
+	is.Equal(len(f.received()), 1)
+	is.Equal(f.lastArrival().replica, 1)
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -117,6 +117,17 @@
 	return slices.ContainsFunc(s.views.tracker.Usable(service), func(r *tracker.Replica) bool { return version == "" || r.Version == version })
 }
 
+// Covers reports whether the known replicas are those of a version of the registry's store or a
+// later one, or were read at a time or later.
+func (s *Selector) Covers(version uint64, since time.Time) bool {
+	return s.views.tracker.Covers(version, since)
+}
+
+// AwaitCovered waits until Covers is true or the context ends, and returns Covers.
+func (s *Selector) AwaitCovered(ctx context.Context, version uint64, since time.Time) bool {
+	return s.views.tracker.AwaitCovered(ctx, version, since)
+}
+
 // Request is a request that needs a replica.
 type Request struct {
 	Service Service
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -58,6 +58,7 @@
 	g.read(now)
 	g.logChanges(g.tracker.Replace(list, now), version)
 	g.logChanges(g.tracker.Expire(now), version)
+	g.tracker.ReachedVersion(version)
 	g.logChanges(g.tracker.ReadCompleted(g.feed.began), version)
 }
 
@@ -76,6 +77,7 @@
 	g.read(now)
 	g.logChanges(g.tracker.Update(rows, now), version)
 	g.logChanges(g.tracker.Expire(now), version)
+	g.tracker.ReachedVersion(version)
 	g.logChanges(g.tracker.ReadCompleted(g.feed.began), version)
 }
 
--- a/internal/server/versions_test.go
+++ b/internal/server/versions_test.go
@@ -175,19 +175,24 @@
 	return cataloger.New(1, []*cataloger.Route{r}, []*cataloger.Service{{Name: "s"}}, cataloger.Limits{}), nil
 }
 
-// startStreamDaemons starts daemons of one zone that share a store.
-func startStreamDaemons(t *testing.T, n int, number int, store *emulator.Store) []*daemon {
+// startStreamDaemons starts daemons of one zone that share a store. The feeds replace that of the
+// first daemons.
+func startStreamDaemons(t *testing.T, n int, number int, store *emulator.Store, feeds ...storer.Feed) []*daemon {
 	t.Helper()
 	z := &strandedZone{t: t, store: store, number: number}
 	for i := range n {
 		ctx, cancel := context.WithCancel(context.Background())
 		d := &daemon{t: t, store: store, front: z.ip(i) + ":7001", ready: z.ip(i) + ":7002", cancel: cancel, ended: make(chan error, 1)}
 		name := string(rune('A' + i))
+		var feed storer.Feed = store
+		if i < len(feeds) {
+			feed = feeds[i]
+		}
 		go d.run(ctx, server.Options{
 			Name: name + "-1", VM: name, Zone: "z", Zones: 1, ClientAddress: d.front, ReadyAddress: d.ready, PeerAddress: z.ip(i) + ":7003", ReadyPath: "/ready",
 			Grace: 100 * time.Millisecond, RowBytes: 1000, MemoryBytes: 64 << 20, Output: io.Discard,
 		}, server.Platform{
-			Table: store, Feed: store, Codec: plainCodec{}, CatalogTable: "config", CatalogKey: "all", DecodeCatalog: decodeStreamCatalog,
+			Table: store, Feed: feed, Codec: plainCodec{}, CatalogTable: "config", CatalogKey: "all", DecodeCatalog: decodeStreamCatalog,
 			ReplicaTable: "replicas", DecodeReplica: decodeReplica, Reports: plainReports{},
 			Ingress: func(f *forwarder.Forwarder, _ *cataloger.Keeper) http.Handler { return streamIngress{f} },
 		})
--- a/internal/tracker/process.go
+++ b/internal/tracker/process.go
@@ -60,11 +60,49 @@
 	return e != nil && e.confirmation.outlived(opened)
 }
 
+// ReachedVersion records that the rows are those of a version of the store or a later one.
+func (t *Tracker) ReachedVersion(version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.readVersion = max(t.readVersion, version)
+}
+
+// Covers reports whether the rows are as new as a version of the store, or were read at a time or
+// later. A replica that wrote its row before, and is not known, is gone.
+func (t *Tracker) Covers(version uint64, since time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.covers(version, since)
+}
+
+// AwaitCovered waits until Covers is true or the context ends, and returns Covers.
+func (t *Tracker) AwaitCovered(ctx context.Context, version uint64, since time.Time) bool {
+	for {
+		t.mu.RLock()
+		covered, next := t.covers(version, since), t.confirmed
+		t.mu.RUnlock()
+		if covered {
+			return true
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// covers is Covers. The caller holds the lock.
+func (t *Tracker) covers(version uint64, since time.Time) bool {
+	return version > 0 && t.readVersion >= version || !t.readBegan.Before(since)
+}
+
 // ReadCompleted records that the rows are those of a read of the registry that began at a time,
 // once Replace or Update has applied them. It returns the replicas that this confirms.
 func (t *Tracker) ReadCompleted(began time.Time) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.readBegan = began
 	var changes []Change
 	for _, e := range t.entries {
 		if e.removeAt.IsZero() && e.confirmation.read(began, e.replica.Sequence) {
@@ -117,7 +155,7 @@
 	}
 }
 
-// announceConfirmed wakes those that wait in AwaitOwned. The caller holds the lock.
+// announceConfirmed wakes those that wait in one of the Await methods. The caller holds the lock.
 func (t *Tracker) announceConfirmed() {
 	close(t.confirmed)
 	t.confirmed = make(chan struct{})
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -46,7 +46,12 @@
 	// was none of the store but this daemon's own.
 	recoveredAt      time.Time
 	storeUnavailable bool
-	// confirmed is closed when it may have become known to which processes connections lead.
+	// readBegan is when the last read of the registry began, and readVersion the version of the
+	// store as of which the rows are.
+	readBegan   time.Time
+	readVersion uint64
+	// confirmed is closed when a read of the registry has ended, or when it may have become known
+	// to which processes connections lead.
 	confirmed chan struct{}
 }
 
--- a/internal/versioner/origin.go
+++ b/internal/versioner/origin.go
@@ -13,6 +13,14 @@
 	Version string `json:"version"`
 }
 
+// Recorded is an origin as the store has it.
+type Recorded struct {
+	Origin
+	// StoreVersion is the version of the store at which it was written. The row of the replica
+	// at which the stream began is older.
+	StoreVersion uint64
+}
+
 // row is the value of a row.
 type row struct {
 	Stream string `json:"stream"`
--- a/internal/versioner/panic_test.go
+++ b/internal/versioner/panic_test.go
@@ -43,7 +43,7 @@
 		o, found, err := v.Find(ctx, stream(1))
 		is.NoErr(err)
 		is.True(found)
-		is.Equal(o, origin(1))
+		is.Equal(o.Origin, origin(1))
 		cancel()
 		synctest.Wait()
 	})
--- a/internal/versioner/versioner.go
+++ b/internal/versioner/versioner.go
@@ -47,12 +47,12 @@
 
 // Find returns the origin of a stream, and false if none is recorded. An error is that of the
 // store.
-func (v *Versioner) Find(ctx context.Context, s Stream) (Origin, bool, error) {
+func (v *Versioner) Find(ctx context.Context, s Stream) (Recorded, bool, error) {
 	d := s.digest()
 	r, err := v.table.Get(ctx, d.key())
 	if err != nil {
-		return Origin{}, false, err
+		return Recorded{}, false, err
 	}
 	o, ok := decode(r.Value, d)
-	return o, ok, nil
+	return Recorded{Origin: o, StoreVersion: r.Version}, ok, nil
 }
--- a/internal/versioner/versioner_test.go
+++ b/internal/versioner/versioner_test.go
@@ -57,7 +57,7 @@
 			o, found, err := other.Find(ctx, stream(i))
 			is.NoErr(err)
 			is.True(found)
-			is.Equal(o, origin(i))
+			is.Equal(o.Origin, origin(i))
 		}
 		_, found, err := other.Find(ctx, stream(300))
 		is.NoErr(err)
@@ -154,7 +154,7 @@
 			o, found, err := v.Find(ctx, stream(i))
 			is.NoErr(err)
 			is.True(found)
-			is.Equal(o, origin(i))
+			is.Equal(o.Origin, origin(i))
 		}
 	})
 }
