--- a/internal/forwarder/resumption_test.go
+++ b/internal/forwarder/resumption_test.go
@@ -14,6 +14,7 @@
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/emulator"
 	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/versioner"
 )
 
 // recordTime is more than a fixture takes to record a stream: its registry is read again, and
@@ -298,3 +299,86 @@
 	is.Equal(f.resume(stream).status, http.StatusOK)
 	is.Equal(f.reportsAsked(), 0) // The replica has written a row since the connection was opened.
 }
+
+// A daemon whose configuration did not yet let the route resume streams took a resumption for a
+// new request, and the stream went on at any version.
+func TestAResumptionIsNoNewRequestUnderAnOlderConfiguration(t *testing.T) {
+	for _, kind := range []cataloger.Kind{cataloger.Streaming, cataloger.Unsafe} {
+		is := is.New(t)
+		f := newVersionedFixture(t, "v1", "v2")
+		began := f.beginStreams(12)
+		time.Sleep(recordTime)
+		f.startForwarder(context.Background())
+		r := &cataloger.Route{Name: "all", Host: "h", Prefix: "/", Kind: kind, MaxRuns: 1, Shares: []cataloger.Share{{Service: "s", Weight: 1}}, Timeout: 20 * time.Second}
+		f.catalog = &cataloger.Keeper{}
+		f.catalog.Apply(cataloger.New(1, []*cataloger.Route{r}, []*cataloger.Service{{Name: "s"}}, cataloger.Limits{}))
+		f.startForwarder(context.Background())
+		for stream, replica := range began {
+			f.resume(stream)
+			is.Equal(f.lastArrival().replica, replica)
+		}
+		arrived := len(f.received())
+		is.Equal(f.resume("nobody's").status, http.StatusServiceUnavailable)
+		is.Equal(len(f.received()), arrived)
+	}
+}
+
+// The next process at a replica's address wrote its first row late. A stream that began there was
+// recorded under the version of the process before, whose row was still read, and resumed there.
+func TestAStreamIsNotRecordedByTheRowOfAnEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	f := newVersionedFixture(t, "v1", "v1")
+	f.setVersions("v1", "")
+	f.registry.stop()
+	f.startForwarder(context.Background())
+	began := f.beginStreams(4) // At another process than that of the row.
+	for range 4 {
+		time.Sleep(200 * time.Millisecond)
+		start := time.Now()
+		f.tracker.Update(nil, time.Now())
+		f.tracker.ReadCompleted(start)
+	}
+	f.restart(0, "v2") // Its row is written.
+	other := *f.replicas[1]
+	other.Version, other.StartedMS = "v1", time.Now().UnixMilli()
+	f.putRows(tracker.Row{ID: "1", Replica: &other})
+	time.Sleep(100 * time.Millisecond)
+	for stream := range began {
+		is.Equal(f.resume(stream).status, http.StatusServiceUnavailable)
+	}
+	is.Equal(len(f.received()), len(began))
+}
+
+// recordAtOther records that a stream began at a version, as another daemon does.
+func (f *fixture) recordAtOther(stream, version string) {
+	f.t.Helper()
+	v := versioner.Start(f.t.Context(), f.store)
+	v.Record(versioner.Stream{Hostname: "h", RequestID: stream}, versioner.Origin{Service: "s", Version: version})
+	for range 100 {
+		if recorded, _ := v.Counts(); recorded == 1 {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.t.Fatal("the origin of the stream is not recorded")
+}
+
+// A daemon that had not read the registry since replicas of a new version joined told clients for
+// good that no replica had the version of their stream.
+func TestAnOldViewDoesNotRefuseAStreamForGood(t *testing.T) {
+	is := is.New(t)
+	f := newVersionedFixture(t, "v1", "v1")
+	f.registry.stop()
+	f.recordAtOther("1", "v2")
+	r := f.resume("1")
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(r.body, `"ran":"no"`))
+	is.True(strings.Contains(r.body, `"code":3001`))
+	is.True(r.header.Get("Retry-After") != "")
+	is.Equal(len(f.received()), 0)
+	f.restart(1, "v2")
+	f.startRegistry(300 * time.Millisecond)
+	f.resume("1") // It waits for the read.
+	is.Equal(len(f.received()), 1)
+	is.Equal(f.lastArrival().replica, 1)
+}
