logger,server: [fix] the reason of an exit is the last line of the log

Cause: the duties that outlast the daemon's tomb log while the process ends. Change: EndLast keeps a line until the logger's context ends and has it written after all others.

--- a/internal/logger/line.go
+++ b/internal/logger/line.go
@@ -83,6 +83,13 @@
 // End queues the line for writing. The line must not be used afterwards.
 func (l *Line) End() { l.logger.enqueue(l) }
 
+// EndLast keeps the line until the logger's context ends, and has it written after all others,
+// also after those that goroutines queue meanwhile. The line must not be used afterwards.
+func (l *Line) EndLast() {
+	l.text = append(l.text, '\n')
+	l.logger.last.Store(l)
+}
+
 func isPlainWord(s string) bool {
 	if s == "" {
 		return false
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -36,6 +36,8 @@
 	unwritten atomic.Int64
 	// droppedReported and unwrittenReported are the counts that were last written.
 	droppedReported, unwrittenReported int64
+	// last is the line that is written after all others.
+	last atomic.Pointer[Line]
 	// cut is set if the last thing written is a part of a line.
 	cut  bool
 	tomb *tomb.Tomb
@@ -120,7 +122,7 @@
 	for {
 		batch = r.drain(batch[:0])
 		if len(batch) == 0 {
-			return err
+			return r.writeLast(err)
 		}
 		if writeErr := r.write(batch); writeErr != nil {
 			err = writeErr
@@ -128,6 +130,18 @@
 	}
 }
 
+// writeLast writes the line of EndLast, if there is one. Lines that are queued later are not written.
+func (r *Logger) writeLast(err error) error {
+	l := r.last.Load()
+	if l == nil {
+		return err
+	}
+	if writeErr := r.write(l.text); writeErr != nil {
+		err = writeErr
+	}
+	return err
+}
+
 // write writes a batch after the notices of lines that were lost before. Lines that the
 // writer does not take are lost, not tried again, so that a writer that fails for long uses
 // no memory.
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -213,3 +213,21 @@
 		_ = r.Wait()
 	})
 }
+
+// TestTheLastLineIsWrittenAfterAllOthers guards against a log whose last line doesn't say why
+// the process ended, because a goroutine logged something meanwhile.
+func TestTheLastLineIsWrittenAfterAllOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &blockingWriter{}
+		ctx, cancel := context.WithCancel(context.Background())
+		r := logger.Start(ctx, s)
+		r.Event("server", "exit").EndLast()
+		r.Event("relayer", "no secret yet").End()
+		cancel()
+		is.True(r.WaitTimeout(time.Second))
+		lines := s.lines()
+		is.Equal(len(lines), 2)
+		is.True(strings.HasSuffix(lines[1], "server: exit"))
+	})
+}
--- a/internal/server/exit.go
+++ b/internal/server/exit.go
@@ -59,7 +59,7 @@
 
 func (e *exit) line(l *logger.Logger, reason exitReason, uptime time.Duration, err error) {
 	l.Event("server", "exit").Str("reason", string(reason)).Str("vm", e.options.VM).Str("name", e.options.Name).
-		Dur("uptime", uptime).Err(err).End()
+		Dur("uptime", uptime).Err(err).EndLast()
 }
 
 // ReportStartFailure writes the reason of an exit before a daemon could be started.
