messenger: [fix] a peer that connects at the stop does not keep the server

An operator's `pimentorail daemon` would not end after SIGTERM if a peer connected at that moment: the server closes its connections once, and one that is registered later stays. Found by the reviewer. Change: a connection is not served once the stop has begun.

--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -103,6 +103,18 @@
 	conn   net.Conn
 }
 
+// register adds the connection to those that the server closes at its stop. It returns false if
+// that has begun.
+func (s *session) register() bool {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	if !s.server.tomb.Alive() {
+		return false
+	}
+	s.server.conns[s.conn] = true
+	return true
+}
+
 // forget removes the connection from those of the server.
 func (s *session) forget() {
 	s.server.mu.Lock()
@@ -111,9 +123,9 @@
 }
 
 func (s *session) run() error {
-	s.server.mu.Lock()
-	s.server.conns[s.conn] = true
-	s.server.mu.Unlock()
+	if !s.register() {
+		return s.conn.Close()
+	}
 	defer s.forget()
 	s.server.ServeConn(s.conn)
 	return nil
