journaler: [fix] a panic in a commit is an error of the commit

Callers would have waited for records that nobody commits: since the loop is supervised, it went on without the batch at which it panicked. Change: a panic of the store's client is an error with unknown outcome, and the batch is resolved and tried again like after any other error; its row makes that idempotent. Result: TestABatchThatPanicsIsSettled failed before and passes.

--- a/internal/journaler/journaler.go
+++ b/internal/journaler/journaler.go
@@ -147,7 +147,7 @@
 	b.rejectFenced(b.fenceVersions())
 	for len(b.records) > 0 {
 		tx, want := b.transaction(key, j.rowVersion)
-		version, err := j.o.Table.Commit(ctx, tx)
+		version, err := j.commitOnce(ctx, tx)
 		if err == nil {
 			j.succeed(b, tx, version)
 			return
@@ -174,6 +174,13 @@
 	j.markAvailable()
 }
 
+// commitOnce commits a transaction. A panic is an error, after which the store is asked whether
+// the batch was committed: no record is left behind unsettled.
+func (j *Journaler) commitOnce(ctx context.Context, tx storer.Transaction) (version uint64, err error) {
+	defer supervisor.Return("journaler: commit", &err)
+	return j.o.Table.Commit(ctx, tx)
+}
+
 // markAvailable ends a store outage.
 func (j *Journaler) markAvailable() {
 	j.mu.Lock()
@@ -183,7 +190,8 @@
 
 // resolve reads from the store whether the batch was committed. If not, it settles the
 // fenced records, so that a retry contains only the others.
-func (j *Journaler) resolve(ctx context.Context, b *batch, key string, want batchRow) (bool, error) {
+func (j *Journaler) resolve(ctx context.Context, b *batch, key string, want batchRow) (applied bool, err error) {
+	defer supervisor.Return("journaler: outcome of a batch", &err)
 	row, err := j.o.Table.Get(ctx, key)
 	if err != nil {
 		return false, err
