relayer: [fix] what is no secret is not used as one

A daemon that started while another writer had spoiled the secret's row was rejected by all peers for good. Change: only what the daemons write, a UUID, is taken; otherwise the row is read again.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -201,6 +201,11 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	secret, err := x.secret(ctx)
+	if err == nil {
+		// Another writer may have spoiled the row for a moment.
+		_, err = uuid.Parse(secret)
+		err = errors.Wrapf(err, "row %q holds no secret", secretKey)
+	}
 	if err != nil {
 		x.logger.Event("relayer", "no secret yet").Err(err).End()
 	}
