main,signaler: [fix] a standard error that nobody reads holds up no start, stop or crash

A daemon whose standard error was a full pipe did not start if its settings came late, `pimentorail daemon` did not stop, and a process that crashed stayed, with its ports and without serving: the runtime waits to write its stacks. Cause: writes to descriptor 2 by klog and by the runtime block. Change: the daemons open the pipe anew as non-blocking, so that what it does not take is lost. The flags of the others that write to it stay as they are.

Since signaler ignores SIGPIPE, which signal.Reset does not undo, no command is ended by it; the comments say so now.

--- a/cmd/pimentorail/main.go
+++ b/cmd/pimentorail/main.go
@@ -35,8 +35,10 @@
 	daemonName = "daemon <settings>"
 )
 
+func isDaemon(command string) bool { return command == serveName || command == daemonName }
+
 // unhandledSignals returns the signals to which a command reacts as any process does. A daemon
-// is not ended by SIGHUP or by an output whose reader has ended.
+// is not ended by SIGHUP. No command is ended by an output whose reader has ended.
 func unhandledSignals(command string) []os.Signal {
 	switch command {
 	case serveName:
@@ -44,7 +46,7 @@
 	case daemonName:
 		return []os.Signal{syscall.SIGQUIT}
 	}
-	return []os.Signal{syscall.SIGHUP, syscall.SIGQUIT, syscall.SIGPIPE}
+	return []os.Signal{syscall.SIGHUP, syscall.SIGQUIT}
 }
 
 var errBrokenPromises = errors.New("the report lists broken promises")
@@ -93,6 +95,9 @@
 	}
 	setLogging(c.Verbosity)
 	signaler.Reset(unhandledSignals(run.Command())...)
+	if isDaemon(run.Command()) {
+		unblockStandardError()
+	}
 	// The signals stay handled until the process exits, so that one in its last millisecond does
 	// not change its exit code.
 	run.BindTo(signaler.Context(), (*context.Context)(nil))
--- a/internal/signaler/signaler.go
+++ b/internal/signaler/signaler.go
@@ -71,8 +71,8 @@
 // Dumps returns the channel of SIGQUIT.
 func Dumps() <-chan os.Signal { return process.dumps }
 
-// Reset restores the default reaction to signals. SIGHUP and SIGQUIT among them that came before
-// have their effect then.
+// Reset restores the default reaction to signals, but for SIGPIPE, which stays ignored. SIGHUP and
+// SIGQUIT among them that came before have their effect then.
 func Reset(list ...os.Signal) {
 	if len(list) == 0 {
 		return // signal.Reset would reset all of them.
