tunneler: [test] inquiries are tested in a bubble, over connections in memory

TestPeersThatDoNotAnswerDoNotHideACrash and TestEndedReplicasAreToldFromCutLinks (reached) failed beside load: 37 of 128 plays of the first and 1 of 128 of the second with -race (32 copies of the binary, load 48 on 8 cores), 5 of 80 without (16 copies). The others are in the tests, which ran twelve rows in parallel over real sockets:

- The inquiry has 300 ms, the caller 500 ms.
Beside load the sockets and goroutines took longer (in one trace 204 inquiries timed out, and several failures say "context deadline exceeded").
Then the answer depends on the processor.

Both tests now run in a testing/synctest bubble, over pipes. A killed peer refuses, a frozen one never answers. All rows, checks and times are as they were; the 500 ms hold to the instant now. The other tests keep the sockets.

With "ended" false where nobody answers 4 rows fail, 2 if peers don't contradict, and 4 with an inquiry of 600 ms. Measured: 192 of 192 plays of both (32 copies, load 46), 192 of 192 with -race. go test -race ./internal/tunneler passes.

--- a/internal/tunneler/ended_test.go
+++ b/internal/tunneler/ended_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -59,26 +60,28 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			is := is.New(t)
-			f := newFixture(t, row.zone, row.elsewhere)
-			for i, n := range append(f.network.zone, f.network.elsewhere...) {
-				if row.gone {
-					n.dialError = syscall.ECONNREFUSED
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newMemoryFixture(t, row.zone, row.elsewhere)
+				for i, n := range append(f.network.zone, f.network.elsewhere...) {
+					if row.gone {
+						n.dialError = syscall.ECONNREFUSED
+					}
+					switch {
+					case i < row.killed:
+						n.kill()
+					case i < row.killed+row.frozen:
+						n.freeze()
+					}
 				}
-				switch {
-				case i < row.killed:
-					n.kill()
-				case i < row.killed+row.frozen:
-					n.freeze()
+				u := f.tunneler()
+				for range 5 { // Peers that failed a moment ago are asked all the same.
+					ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+					is.Equal(u.Ended(ctx, f.replica, row.reaches.check), row.ended)
+					is.NoErr(ctx.Err())
+					cancel()
 				}
-			}
-			u := f.tunneler()
-			for range 5 { // Peers that failed a moment ago are asked all the same.
-				ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-				is.Equal(u.Ended(ctx, f.replica, row.reaches.check), row.ended)
-				is.NoErr(ctx.Err())
-				cancel()
-			}
+			})
 		})
 	}
 }
--- a/internal/tunneler/fixture_test.go
+++ b/internal/tunneler/fixture_test.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -30,10 +32,10 @@
 	// own attempts.
 	cut       bool
 	dialError error
-	// frozen daemons accept connections and answer nothing.
-	frozen bool
-	conns  []net.Conn
-	asked  int
+	// frozen daemons accept connections and answer nothing, and killed ones accept none.
+	frozen, killed bool
+	conns          []net.Conn
+	asked          int
 }
 
 // DialDirectly implements tunneler.Links.
@@ -44,10 +46,36 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.listener == nil {
+		c, replica := net.Pipe()
+		n.keep(replica)
+		return c, nil
+	}
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// keep keeps a connection until the daemon is killed.
+func (n *node) keep(c net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns = append(n.conns, c)
+}
+
+// accept serves a connection in memory.
+func (n *node) accept() (net.Conn, error) {
+	n.mu.Lock()
+	killed := n.killed
+	n.mu.Unlock()
+	if killed {
+		return nil, syscall.ECONNREFUSED
+	}
+	c, peer := net.Pipe()
+	n.keep(peer)
+	go (&served{n, peer}).run()
+	return c, nil
+}
+
 // MayDial implements tunneler.Links.
 func (n *node) MayDial(string) bool {
 	n.mu.Lock()
@@ -71,9 +99,12 @@
 
 // kill closes all connections of a daemon, as the end of its process does.
 func (n *node) kill() {
-	_ = n.listener.Close()
+	if n.listener != nil {
+		_ = n.listener.Close()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.killed = true
 	for _, c := range n.conns {
 		_ = c.Close()
 	}
@@ -102,7 +133,11 @@
 func peersOf(nodes []*node) []assigner.Peer {
 	var list []assigner.Peer
 	for _, n := range nodes {
-		list = append(list, assigner.Peer{Name: n.name, Address: n.listener.Addr().String()})
+		address := n.name
+		if n.listener != nil {
+			address = n.listener.Addr().String()
+		}
+		list = append(list, assigner.Peer{Name: n.name, Address: address})
 	}
 	return list
 }
@@ -115,6 +150,11 @@
 
 // OpenStream implements tunneler.Peers.
 func (n *network) OpenStream(ctx context.Context, address, _ string) (net.Conn, error) {
+	for _, m := range append(slices.Clone(n.zone), n.elsewhere...) {
+		if m.listener == nil && m.name == address {
+			return m.accept()
+		}
+	}
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address)
 }
@@ -133,18 +173,38 @@
 	s := httptest.NewServer(http.HandlerFunc(f.serve))
 	t.Cleanup(s.Close)
 	f.replica = &tracker.Replica{ID: "r", Service: "s", Address: strings.TrimPrefix(s.URL, "http://"), StartedMS: 7, Slots: 4}
-	lines := logger.Start(t.Context(), io.Discard)
+	return f.addNodes(zone, elsewhere, true)
+}
+
+// newMemoryFixture returns a fixture whose connections are pipes, for tests of time: another
+// process may take the port of a killed daemon, and a socket waits for the processor.
+func newMemoryFixture(t *testing.T, zone, elsewhere int) *fixture {
+	t.Helper()
+	f := &fixture{t: t, gone: make(chan struct{}, 16)}
+	f.replica = &tracker.Replica{ID: "r", Service: "s", Address: "r", StartedMS: 7, Slots: 4}
+	return f.addNodes(zone, elsewhere, false)
+}
+
+// addNodes adds daemons that listen at a port or in memory.
+func (f *fixture) addNodes(zone, elsewhere int, ports bool) *fixture {
+	f.t.Helper()
+	lines := logger.Start(f.t.Context(), io.Discard)
 	for i := range zone + elsewhere {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+		n := &node{name: "n" + strconv.Itoa(i), tracker: tracker.New(tracker.Options{})}
+		if ports {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			n.listener = l
 		}
-		n := &node{name: "n" + strconv.Itoa(i), listener: l, tracker: tracker.New(tracker.Options{})}
 		r := *f.replica
 		n.tracker.Replace([]*tracker.Replica{&r}, time.Now())
 		n.service = tunneler.NewService(n.tracker, n, lines)
-		t.Cleanup(n.kill)
-		go n.run()
+		f.t.Cleanup(n.kill)
+		if ports {
+			go n.run()
+		}
 		if i < zone {
 			f.network.zone = append(f.network.zone, n)
 		} else {
--- a/internal/tunneler/tunneler_test.go
+++ b/internal/tunneler/tunneler_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -145,17 +146,19 @@
 		"an error that says less": {false, errors.New("no route"), false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			f := newFixture(t, 2, 1)
-			for _, n := range append(f.network.zone, f.network.elsewhere...) {
-				n.cut, n.dialError = row.cut, row.err
-			}
-			u := f.tunneler()
-			is.Equal(u.Ended(context.Background(), f.replica, reach(true).check), row.ended)
-			_, err := u.Dial(context.Background(), f.replica)
-			is.Equal(err == nil, row.err == nil && !row.cut)
-			// Only peers that tried say something about the replica.
-			is.Equal(errors.Is(err, connector.ErrUnreached), row.err != nil)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newMemoryFixture(t, 2, 1)
+				for _, n := range append(f.network.zone, f.network.elsewhere...) {
+					n.cut, n.dialError = row.cut, row.err
+				}
+				u := f.tunneler()
+				is.Equal(u.Ended(context.Background(), f.replica, reach(true).check), row.ended)
+				_, err := u.Dial(context.Background(), f.replica)
+				is.Equal(err == nil, row.err == nil && !row.cut)
+				// Only peers that tried say something about the replica.
+				is.Equal(errors.Is(err, connector.ErrUnreached), row.err != nil)
+			})
 		})
 	}
 }
