--- a/internal/tracker/confirmation_test.go
+++ b/internal/tracker/confirmation_test.go
@@ -195,3 +195,37 @@
 	is.True(!tr.Outlived(r, at(0.7)))
 	is.True(!tr.Outlived(tr.Find("a"), at(0.7)))
 }
+
+// A version of which no replica was known counted as gone, though the registry had last been read
+// before its replicas joined.
+func TestOnlyALaterReadShowsThatAReplicaIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tr := newTracker()
+		is.True(!tr.Covers(0, at(0))) // Nothing was read.
+		tr.ReachedVersion(7)
+		tr.ReadCompleted(at(1))
+		is.True(tr.Covers(7, at(2)))  // As of the same version.
+		is.True(!tr.Covers(8, at(2))) // A later one, and the read began before.
+		is.True(!tr.Covers(0, at(2))) // Without a version only the time counts.
+		is.True(tr.Covers(8, at(1)))
+		tr.ReachedVersion(6)
+		is.True(tr.Covers(7, at(2))) // A view does not get older.
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(!tr.AwaitCovered(ctx, 8, at(2)))
+		go (&laterRead{tr, at(2)}).run()
+		is.True(tr.AwaitCovered(t.Context(), 8, at(2)))
+	})
+}
+
+// laterRead is a read of the registry that ends after a second.
+type laterRead struct {
+	tracker *tracker.Tracker
+	began   time.Time
+}
+
+func (r *laterRead) run() {
+	time.Sleep(time.Second)
+	r.tracker.ReadCompleted(r.began)
+}
