supervisor: [test] the reports of an earlier test are in an earlier period

TestReportsAreBounded failed once (4 != 5) in a whole run. Trace, by reading: each bubble of fake time begins at the same time, a test before it reports for up to a minute of that time, at random moments, and this test began to count after exactly a minute: a report of the last second before counted in its period. Change: it begins an hour later; what it asks for is the same.

--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -89,7 +89,7 @@
 		o := supervisor.Observe(func(f supervisor.Failure) { list = append(list, f) })
 		defer o.Close()
 		fail := func() { _ = supervisor.Do("decoder", func() error { panic("odd row") }) }
-		time.Sleep(time.Minute) // The other tests have a period of their own.
+		time.Sleep(time.Hour) // Each bubble begins at the same time, and the last report of another test came within a minute.
 		for range 1000 {
 			fail()
 		}
