tracker: [fix] a number that a replica has not reached hides its rows no longer

Callers were sent to a replica that drained, for as long as it lived, after another writer had put a row with a sequence of 2^40 or a start in the year 2100 in the place of the replica's: its own rows looked older and were ignored.

Cause: the numbers that a row claims decide its age, which is right for writes that the store performs late, and wrong for a number that nobody reached. Change: the third of such rows in ascending order, without one between that looks newer, is taken. Ordering by the store's own version alone was weighed: a late write would then bring a draining replica back.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -31,6 +31,8 @@
 	removeAt time.Time
 	// confirmation tells whether the row describes the process at the replica's address.
 	confirmation confirmation
+	// late are the rows that looked older than replica since it was read.
+	late lateRows
 }
 
 // Tracker holds the known replicas and the outages of the registry's store.
@@ -252,16 +254,17 @@
 	return changes
 }
 
-// put adds or updates a replica, and ignores a row that is older than the known one.
+// put adds or updates a replica, and ignores a row that is older than the known one unless that
+// is wrong.
 func (t *Tracker) put(changes []Change, r *Replica) []Change {
 	e, ok := t.entries[r.ID]
 	switch {
 	case !ok:
 		t.entries[r.ID] = &entry{replica: r.setInstance()}
 		return append(changes, Change{r, "added"})
-	case r.Older(e.replica):
+	case r.Older(e.replica) && !e.late.add(r):
 		return changes
-	case !e.replica.SameInstance(r):
+	case r.Older(e.replica) || !e.replica.SameInstance(r):
 		t.entries[r.ID] = &entry{replica: r.setInstance()}
 		return append(changes, Change{r, "changed"})
 	case !e.removeAt.IsZero():
@@ -276,7 +279,7 @@
 		changes = append(changes, Change{r, kind})
 	}
 	r.instance = e.replica.instance
-	e.replica = r
+	e.replica, e.late = r, lateRows{}
 	return changes
 }
 
