forwarder,selector,tracker: [fix] streams are recorded by a read of the registry again

Cause: a record waited for a further row of the replica. The store's feed shows a row when more than its sequence changes, so a sound replica's further rows never come, and after 4 s the record was dropped. The fixtures of the tests write rows whose sequence alone changes into the feed, which hid that. The fault that the change was for is open: a next process whose first row is over 0.3 s late.

--- a/internal/forwarder/process.go
+++ b/internal/forwarder/process.go
@@ -16,8 +16,8 @@
 	// registry if the replica does not tell its start time itself. The registry is read
 	// every 0.7 s, and a read proves a connection that was opened 0.3 s before.
 	resumptionWait = 1200 * time.Millisecond
-	// originWait is how long the record of a stream waits for a row that was written after its
-	// connection was opened. A replica writes one every 1.2 s, and it takes two reads to see that.
+	// originWait is how long the record of a stream waits for the same. It is longer, since a
+	// replica whose end was seen in error writes its next row after 1.2 s.
 	originWait = 4 * time.Second
 	// maxAwaitedOrigins bounds the records that wait.
 	maxAwaitedOrigins = 1024
@@ -106,7 +106,7 @@
 	defer supervisor.Recover("forwarder: record of a stream")
 	ctx, cancel := context.WithTimeout(context.Background(), originWait)
 	defer cancel()
-	if o.choice.AwaitOutlived(ctx, o.opened) {
+	if o.choice.AwaitOwned(ctx, o.opened) {
 		f.versions.Record(o.stream, o.origin)
 	}
 }
--- a/internal/forwarder/resumption.go
+++ b/internal/forwarder/resumption.go
@@ -84,16 +84,15 @@
 }
 
 // recordOrigin records where a stream begins, before its first event is forwarded. The row of
-// its replica may be that of an earlier process than the one that sent the event, and stays while
-// the later one cannot write its own. If the process is not known to have lived after the
-// connection was opened, the record waits, and the event does not.
+// its replica may be that of an earlier process than the one that sent the event. If the
+// connection, opened at a time, does not show that, the record waits, and the event does not.
 func (f *Forwarder) recordOrigin(j *job, c *selector.Choice, opened time.Time) {
 	r := c.Replica
 	if !j.route.Resumable || j.resumes() || r.Version == "" {
 		return
 	}
 	stream, origin := j.request.stream(j.request.ID), versioner.Origin{Service: r.Service, Version: r.Version}
-	if c.Outlived(opened) {
+	if c.Owns(opened) {
 		f.versions.Record(stream, origin)
 		return
 	}
--- a/internal/selector/choice.go
+++ b/internal/selector/choice.go
@@ -77,11 +77,6 @@
 	return c.selector.views.tracker.AwaitOwned(ctx, c.Replica, opened)
 }
 
-// AwaitOutlived waits until Outlived is true or the context ends, and returns Outlived.
-func (c *Choice) AwaitOutlived(ctx context.Context, opened time.Time) bool {
-	return c.selector.views.tracker.AwaitOutlived(ctx, c.Replica, opened)
-}
-
 // ReportLeaving records that the replica announced its end, and reports it to the
 // coordinator if that chose the replica. It returns true for the first announcement.
 func (c *Choice) ReportLeaving() bool {
--- a/internal/tracker/process.go
+++ b/internal/tracker/process.go
@@ -130,12 +130,6 @@
 	return t.await(ctx, r, func(c *confirmation) bool { return c.owns(opened) })
 }
 
-// AwaitOutlived waits until Outlived is true, the instance is replaced or the context ends, and
-// returns Outlived.
-func (t *Tracker) AwaitOutlived(ctx context.Context, r *Replica, opened time.Time) bool {
-	return t.await(ctx, r, func(c *confirmation) bool { return c.outlived(opened) })
-}
-
 // await waits until the confirmation of an instance meets a condition, and returns false if the
 // instance is replaced or the context ends before.
 func (t *Tracker) await(ctx context.Context, r *Replica, met func(*confirmation) bool) bool {
