--- a/internal/server/exit.go
+++ b/internal/server/exit.go
@@ -64,3 +64,6 @@
 
 // ReportStartFailure writes the reason of an exit before a daemon could be started.
 func ReportStartFailure(o Options, err error) { _ = newExit(o).report(startFailed, err) }
+
+// ReportStop writes that a process was told to stop before a daemon could be started.
+func ReportStop(o Options) { _ = newExit(o).report(plannedStop, nil) }
