--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -13,6 +13,7 @@
 	routes   map[string][]*Route
 	services map[string]*Service
 	limits   Limits
+	unknown  []string
 }
 
 // New returns a catalog with the given version and contents.
@@ -38,6 +39,17 @@
 	return c.version
 }
 
+// WithUnknownFields returns the catalog with the names of the configuration's fields that its
+// decoder does not know.
+func (c *Catalog) WithUnknownFields(names []string) *Catalog {
+	next := *c
+	next.unknown = names
+	return &next
+}
+
+// UnknownFields returns the names of the configuration's fields that its decoder does not know.
+func (c *Catalog) UnknownFields() []string { return c.unknown }
+
 // Match returns the host's route with the longest matching path prefix, or nil.
 func (c *Catalog) Match(host, path string) *Route {
 	for _, r := range c.routes[host] {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -280,7 +280,7 @@
 // Refuse answers a request that was not sent to any replica.
 func (f *Forwarder) Refuse(w http.ResponseWriter, q *Request, fault *classifier.Fault) {
 	f.logger.Event("forwarder", "refused").Str("id", q.ID).Str("program", q.Program).Int("code", int(fault.Code)).
-		Str("why", fault.Message).Dur("after", time.Since(q.Arrived)).Uint("version", f.catalog.Current().Version()).End()
+		Str("why", fault.Message).Dur("after", time.Since(q.Arrived)).Uint("version", f.catalog.Current().Version()).Bool("credentials", q.Caller != "").End()
 	f.meter.countFault(fault.Code)
 	f.writeFault(w, fault)
 }
@@ -301,7 +301,8 @@
 func (f *Forwarder) logResult(j *job, fault *classifier.Fault) {
 	l := f.logger.Event("forwarder", "done").Str("id", j.request.ID).Str("program", j.request.Program).
 		Str("route", j.route.Name).Uint("version", j.version).Int("attempts", j.attempts).Int("ran", j.possibleRuns).
-		Dur("opened", j.openedAfter).Dur("first", j.firstAfter).Dur("took", time.Since(j.request.Arrived)).Bool("passed", j.responseStarted)
+		Dur("opened", j.openedAfter).Dur("first", j.firstAfter).Dur("took", time.Since(j.request.Arrived)).Bool("passed", j.responseStarted).
+		Bool("credentials", j.request.Caller != "")
 	if j.request.FinishWithin > 0 {
 		l.Dur("left", j.request.FinishWithin-time.Since(j.request.Arrived))
 	}
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"strings"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/cataloger"
@@ -72,5 +73,5 @@
 	old := c.keeper.Current().Version()
 	applied := c.keeper.Apply(next)
 	c.logger.Event("server", "configuration").Uint("version", next.Version()).Uint("old", old).
-		Uint("row-version", r.Version).Bool("applied", applied).End()
+		Uint("row-version", r.Version).Bool("applied", applied).Str("unknown-fields", strings.Join(next.UnknownFields(), " ")).End()
 }
