scoper,cataloger,authenticator,forwarder: [new] types of accounts, credentials and scopes

Change: the shared types of parts A1 and A2 of docs/design/client-accounts.md: cataloger.Account and the accounts of a catalog by digests of their keys, authenticator.Credential (what a request presents, without the key), and scoper.Scope, which returns the text under which something that an account named is kept. A scoped id is opaque and begins with a space, which no header field's value does. A request knows its account and scope; nothing decides by them yet, and no configuration is decoded to accounts yet.

--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -13,6 +13,8 @@
 	routes   map[string][]*Route
 	services map[string]*Service
 	limits   Limits
+	// accounts is nil if the configuration names none, as opposed to an empty list.
+	accounts accounts
 	unknown  []string
 }
 
@@ -39,6 +41,25 @@
 	return c.version
 }
 
+// WithAccounts returns the catalog with accounts, of which there may be none. It returns an error
+// if two accounts have one name or one key, or one has no name.
+func (c *Catalog) WithAccounts(list []*Account) (*Catalog, error) {
+	holders, err := newAccounts(list)
+	if err != nil {
+		return nil, err
+	}
+	next := *c
+	next.accounts = holders
+	return &next, nil
+}
+
+// HasAccounts reports whether the configuration names its accounts, so that a client needs the
+// key of one on each route that is not public.
+func (c *Catalog) HasAccounts() bool { return c.accounts != nil }
+
+// Account returns the account that holds the key with a digest, or nil.
+func (c *Catalog) Account(k KeyDigest) *Account { return c.accounts.find(k) }
+
 // WithUnknownFields returns the catalog with the names of the configuration's fields that its
 // decoder does not know.
 func (c *Catalog) WithUnknownFields(names []string) *Catalog {
--- a/internal/cataloger/route.go
+++ b/internal/cataloger/route.go
@@ -43,6 +43,11 @@
 	// Resumable reports whether a client may resume a stream that broke off, after the last
 	// event that it received.
 	Resumable bool
+	// Public reports whether clients need no key where the configuration names accounts.
+	Public bool
+	// Priority is the rank of the route's requests, where 0 is the highest. That of an account
+	// takes precedence.
+	Priority int
 }
 
 // Repeatable reports whether a request that may have run on one replica may be retried on
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/prioritizer"
 	"pimentorail.example/pimentorail/internal/ranker"
+	"pimentorail.example/pimentorail/internal/scoper"
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/supervisor"
 	"pimentorail.example/pimentorail/internal/tracker"
@@ -119,6 +120,10 @@
 	route   *cataloger.Route
 	service *cataloger.Service
 	version uint64
+	// account is the account for which the request runs, nil for none, and scope that of the ids
+	// that the client chose.
+	account *cataloger.Account
+	scope   scoper.Scope
 	turn    *turn
 	// mark identifies what the client sent.
 	mark isolator.Mark
@@ -225,6 +230,10 @@
 		return nil, classifier.New(classifier.TargetAway, classifier.RanNo, "configuration version %d has no service for route %q", c.Version(), r.Name).After(f.retryAfter())
 	}
 	j := &job{request: q, route: r, service: s, version: c.Version(), tried: map[string]bool{}, mark: q.mark()}
+	if c.HasAccounts() {
+		j.account = q.Credential.Account(c)
+		j.scope = scoper.Of(j.account.Name())
+	}
 	timeout := defaultTimeout
 	if q.Timeout > 0 {
 		timeout = q.Timeout
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"pimentorail.example/pimentorail/internal/authenticator"
 	"pimentorail.example/pimentorail/internal/isolator"
 	"pimentorail.example/pimentorail/internal/ranker"
 )
@@ -11,8 +12,11 @@
 // Request is a client's request, decoded from the client protocol.
 type Request struct {
 	ID string
-	// Caller identifies who sent the request, as far as the client protocol says.
+	// Caller identifies who sent the request, as far as the client protocol says, where the
+	// configuration names no accounts.
 	Caller string
+	// Credential is the key that the client presents.
+	Credential authenticator.Credential
 	// Method, Target and Host are sent to the replica unchanged; Hostname, the normalized
 	// host name, and Path select the route.
 	Method, Target, Host, Hostname, Path string
--- /dev/null
+++ b/internal/scoper/scope.go
@@ -0,0 +1,47 @@
+package scoper
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+const (
+	// accountDigits is the number of hexadecimal digits that stand for an account, 128 bits.
+	accountDigits = 32
+	// maxPlainBytes is the length of the longest id that is a part of its scoped id unhashed.
+	// The store bounds keys to 200 bytes.
+	maxPlainBytes = 96
+	// marker begins each scoped id. No id of a client begins with it, since HTTP removes the
+	// space before the value of a header field.
+	marker = " "
+	// plain and hashed separate the account from its id and from the hash of its id.
+	plain, hashed = ":", "#"
+)
+
+// Scope is the account whose ids are meant; in the zero value, that of a configuration without
+// accounts, each id stands for itself.
+type Scope struct{ prefix string }
+
+// Of returns the scope of the account with a name, or, for an empty name, the scope that all
+// clients without an account share.
+func Of(account string) Scope {
+	sum := sha256.Sum256([]byte(account))
+	return Scope{prefix: marker + hex.EncodeToString(sum[:])[:accountDigits]}
+}
+
+// ID returns the text of at most 200 bytes under which the thing that the account calls id is
+// kept; it differs from that of every other account and id, and is empty for an empty id. In the
+// zero Scope it is the id, whatever its length.
+func (s Scope) ID(id string) string {
+	switch {
+	case s == Scope{} || id == "":
+		return id
+	case len(id) <= maxPlainBytes:
+		return s.prefix + plain + id
+	}
+	sum := sha256.Sum256([]byte(id))
+	return s.prefix + hashed + hex.EncodeToString(sum[:])
+}
+
+// String returns a text that names the account's scope, which is empty for the zero Scope.
+func (s Scope) String() string { return s.prefix }
