platform,server: [new] settings that ask for more than a daemon does are logged

The settings name the contracts in force, and a daemon read none of them: where `tenants` was in force it served as if it weren't, without a line.

--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -40,7 +40,9 @@
 	// RedirectLibraries lets libraries write their messages to w in place of standard error,
 	// which may block or fail. It may be nil.
 	RedirectLibraries func(w io.Writer)
-	Signals           Signals
+	// Unsupported names the settings that ask for something a daemon does not do, for the log.
+	Unsupported []string
+	Signals     Signals
 	// Reload reads the settings again. It may be nil.
 	Reload func() error
 }
--- a/internal/server/process.go
+++ b/internal/server/process.go
@@ -4,6 +4,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"strings"
 
 	"golang.org/x/sys/unix"
 
@@ -20,6 +21,9 @@
 	appendLimit(l, "files-limit", unix.RLIMIT_NOFILE)
 	appendLimit(l, "processes-limit", unix.RLIMIT_NPROC)
 	l.End()
+	if len(o.Unsupported) > 0 {
+		d.logger.Event("server", "settings unsupported").Str("settings", strings.Join(o.Unsupported, " ")).End()
+	}
 }
 
 // buildVersion returns the version of the module and the revision that it was built from.
