platform,cataloger,forwarder: [fix] a service that requires TLS or another protocol gets no plain requests

Of the fields of a configuration, `tls` and `protocol` of a service promise how its replicas are called; both were dropped, so that callers' requests would have gone to them in plain text. Change: a request to such a service is refused at once with 503 as not run.

--- a/internal/cataloger/service.go
+++ b/internal/cataloger/service.go
@@ -14,6 +14,9 @@
 	// CacheTokens is a replica's KV cache capacity in tokens, for cached prompts and running
 	// requests.
 	CacheTokens int
+	// Unsupported names what the service's replicas require and a daemon does not do, such as
+	// TLS; it is empty if requests can be sent.
+	Unsupported string
 }
 
 // Limits are the maximum sizes of a client's request.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -229,6 +229,9 @@
 	if s == nil {
 		return nil, classifier.New(classifier.TargetAway, classifier.RanNo, "configuration version %d has no service for route %q", c.Version(), r.Name).After(f.retryAfter())
 	}
+	if s.Unsupported != "" {
+		return nil, classifier.New(classifier.TargetAway, classifier.RanNo, "service %q requires %s, which is not supported", s.Name, s.Unsupported).After(f.retryAfter())
+	}
 	j := &job{request: q, route: r, service: s, version: c.Version(), tried: map[string]bool{}, mark: q.mark()}
 	if c.HasAccounts() {
 		j.account = q.Credential.Account(c)
