forwarder: [fix] turns, budgets, streams and marks are kept apart by account

Cause: what a client names was kept under the id alone, and marks and streams under the text of its credentials. Change: where the configuration names accounts, the ids of turns and programs go through the scope of the account (as do coordinators, recalls, grants and caches, which get them from there), and the scope is the caller of marks and streams.

--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"pimentorail.example/pimentorail/internal/archivist"
+	"pimentorail.example/pimentorail/internal/authenticator"
 	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/connector"
@@ -177,6 +178,7 @@
 		ID: r.Header.Get("Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Hostname: "h", Path: r.URL.Path,
 		Header: r.Header, Body: body, Arrived: time.Now(), Timeout: 10 * time.Second, Parent: r.Header.Get("Parent"), MaxTokens: 20,
 		Parts: []ranker.Part{{ID: "p", Tokens: 5}}, LastEventID: r.Header.Get("Last-Event"), Resumes: r.Header.Get("Resumes"), Caller: r.Header.Get("Caller"),
+		Credential: authenticator.Parse(r.Header["Authorization"]),
 	}
 	if p := r.Header.Get("Patience"); p != "" {
 		q.Timeout, _ = time.ParseDuration(p)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -229,11 +229,12 @@
 	if s == nil {
 		return nil, classifier.New(classifier.TargetAway, classifier.RanNo, "configuration version %d has no service for route %q", c.Version(), r.Name).After(f.retryAfter())
 	}
-	j := &job{request: q, route: r, service: s, version: c.Version(), tried: map[string]bool{}, mark: q.mark()}
+	j := &job{request: q, route: r, service: s, version: c.Version(), tried: map[string]bool{}}
 	if c.HasAccounts() {
 		j.account = q.Credential.Account(c)
 		j.scope = scoper.Of(j.account.Name())
 	}
+	j.mark = q.mark(j.caller())
 	timeout := defaultTimeout
 	if q.Timeout > 0 {
 		timeout = q.Timeout
--- a/internal/forwarder/request.go
+++ b/internal/forwarder/request.go
@@ -52,7 +52,7 @@
 	Resumes string
 }
 
-// mark returns the mark of what the client sent.
-func (q *Request) mark() isolator.Mark {
-	return isolator.NewTurnMark(q.Parent, q.Body, q.Caller, q.Method, q.Hostname, q.Target)
+// mark returns the mark of what a caller sent.
+func (q *Request) mark(caller string) isolator.Mark {
+	return isolator.NewTurnMark(q.Parent, q.Body, caller, q.Method, q.Hostname, q.Target)
 }
--- a/internal/forwarder/resumption.go
+++ b/internal/forwarder/resumption.go
@@ -18,8 +18,8 @@
 }
 
 // stream returns the stream that a request of the same caller began.
-func (q *Request) stream(requestID string) versioner.Stream {
-	return versioner.Stream{Caller: q.Caller, Hostname: q.Hostname, RequestID: requestID}
+func (j *job) stream(requestID string) versioner.Stream {
+	return versioner.Stream{Caller: j.caller(), Hostname: j.request.Hostname, RequestID: requestID}
 }
 
 // resolveOrigin restricts a request that resumes a stream to the service and the version at
@@ -30,7 +30,7 @@
 	}
 	findCtx, cancel := context.WithTimeout(ctx, f.options.StoreTimeout)
 	defer cancel()
-	o, found, err := f.versions.Find(findCtx, j.request.stream(j.request.Resumes))
+	o, found, err := f.versions.Find(findCtx, j.stream(j.request.Resumes))
 	if err != nil {
 		return classifier.New(classifier.StoreAway, classifier.RanNo, "find where the stream began: %v", err).After(withJitter(f.options.OutageRetryAfter))
 	}
@@ -91,7 +91,7 @@
 	if !j.route.Resumable || j.resumes() || r.Version == "" {
 		return
 	}
-	stream, origin := j.request.stream(j.request.ID), versioner.Origin{Service: r.Service, Version: r.Version}
+	stream, origin := j.stream(j.request.ID), versioner.Origin{Service: r.Service, Version: r.Version}
 	if c.Owns(opened) {
 		f.versions.Record(stream, origin)
 		return
--- a/internal/forwarder/turn.go
+++ b/internal/forwarder/turn.go
@@ -31,7 +31,9 @@
 	if r.Kind != cataloger.Streaming || !r.Retain && !budgeted {
 		return nil, nil
 	}
-	t := granter.Turn{ID: q.ID, Program: q.Program, Parent: q.Parent, History: r.Retain, Lasts: time.Until(j.deadline)}
+	t := granter.Turn{
+		ID: j.scope.ID(q.ID), Program: j.scope.ID(q.Program), Parent: j.scope.ID(q.Parent), History: r.Retain, Lasts: time.Until(j.deadline),
+	}
 	if budgeted {
 		t.Budget, t.Tokens = q.Budget, q.MaxTokens
 		if t.Tokens == 0 {
@@ -55,7 +57,7 @@
 	case errors.Is(err, archivist.ErrMemory):
 		return nil, classifier.New(classifier.Overloaded, classifier.RanNo, "%v", err).After(f.retryAfter())
 	case err != nil:
-		return nil, classifier.New(classifier.StoreAway, classifier.RanNo, "%v", err).After(withJitter(f.options.OutageRetryAfter))
+		return nil, classifier.New(classifier.StoreAway, classifier.RanNo, "%v", f.withoutScope(j, err)).After(withJitter(f.options.OutageRetryAfter))
 	}
 	return &turn{request: q, grant: grant, input: q.Body}, nil
 }
