scoper: [fix] an id of an account can not be the key of another row of that account

Callers would see: a turn "t1#1" may have the key of the second row of the turn "t1" of the same account (package archivist adds "#" and a number; the part of the key agrees for one id in 256), and ids that differ only in bytes that are not valid UTF-8 share a row, since rows and keys pass through JSON. Other accounts are not reached by either. Change: such ids are hashed, as long ones are. Ids without an account stay as they are, and keep that fault. Result: the property test of hostile ids failed before on an id "\xff" ("scoped id .. is .. after JSON") and passes now.

--- a/internal/scoper/scope.go
+++ b/internal/scoper/scope.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
+	"unicode/utf8"
 )
 
 const (
@@ -36,12 +38,18 @@
 	switch {
 	case s == Scope{} || id == "":
 		return id
-	case len(id) <= maxPlainBytes:
+	case isPlain(id):
 		return s.prefix + plain + id
 	}
 	sum := sha256.Sum256([]byte(id))
 	return s.prefix + hashed + hex.EncodeToString(sum[:])
 }
 
+// isPlain reports whether an id may be a part of a key unhashed. The archivist adds "#" and a number
+// to the keys of a turn's additional rows, and JSON changes what is not valid UTF-8.
+func isPlain(id string) bool {
+	return len(id) <= maxPlainBytes && !strings.Contains(id, hashed) && utf8.ValidString(id)
+}
+
 // String returns a text that names the account's scope, which is empty for the zero Scope.
 func (s Scope) String() string { return s.prefix }
