forwarder,server,platform,docs: [fix] a request on a public route is not refused by a second judgment

A request on a public route with a known key was refused with 503 before its attempt if the process had just resumed, since the judgment before an attempt looked at the key and not at the route. It now takes the same decision as the first one.

The lines name account and priority only where the configuration names accounts.

--- a/internal/forwarder/authentication.go
+++ b/internal/forwarder/authentication.go
@@ -37,15 +37,14 @@
 	}
 	certainty := f.catalog.Certainty(time.Now(), f.options.ConfigAge)
 	c := f.catalog.Current()
-	account := j.request.Credential.Account(c)
+	account, fault := f.authenticate(c, j.route, j.request.Credential, certainty)
 	switch {
-	case !c.HasAccounts(), account.Name() == j.account.Name() && certainty != cataloger.Stalled:
+	case fault == nil && (!c.HasAccounts() || account.Name() == j.account.Name()):
 		return nil
 	case j.possibleRuns > 0:
 		return f.fault(j, classifier.TargetBroken)
-	case account != nil:
-		return classifier.New(classifier.ConfigUnsure, classifier.RanNo, "the account of the request's key is in doubt since configuration version %d", j.version).After(f.retryAfter())
+	case fault == nil:
+		return classifier.New(classifier.ConfigUnsure, classifier.RanNo, "the key of the request is not that of the account since configuration version %d", c.Version()).After(f.retryAfter())
 	}
-	_, fault := f.authenticate(c, j.route, j.request.Credential, certainty)
 	return fault
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -314,7 +314,7 @@
 func (f *Forwarder) refuse(w http.ResponseWriter, q *Request, j *job, fault *classifier.Fault) {
 	l := f.logger.Event("forwarder", "refused").Str("id", q.ID).Str("program", q.Program).Int("code", int(fault.Code)).
 		Str("why", fault.Message).Dur("after", time.Since(q.Arrived)).Uint("version", f.catalog.Current().Version()).Bool("credentials", q.Caller != "")
-	if j != nil {
+	if j != nil && j.hasAccounts {
 		l.Str("account", j.account.Name()).Int("priority", j.priority())
 	}
 	l.End()
@@ -339,7 +339,10 @@
 	l := f.logger.Event("forwarder", "done").Str("id", j.request.ID).Str("program", j.request.Program).
 		Str("route", j.route.Name).Uint("version", j.version).Int("attempts", j.attempts).Int("ran", j.possibleRuns).
 		Dur("opened", j.openedAfter).Dur("first", j.firstAfter).Dur("took", time.Since(j.request.Arrived)).Bool("passed", j.responseStarted).
-		Bool("credentials", j.request.Caller != "").Str("account", j.account.Name()).Int("priority", j.priority())
+		Bool("credentials", j.request.Caller != "")
+	if j.hasAccounts {
+		l.Str("account", j.account.Name()).Int("priority", j.priority())
+	}
 	if j.request.FinishWithin > 0 {
 		l.Dur("left", j.request.FinishWithin-time.Since(j.request.Arrived))
 	}
--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -1,9 +1,12 @@
 package server
 
 import (
+	"time"
+
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/logger"
+	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
@@ -35,3 +38,9 @@
 func NewConfigSink(k *cataloger.Keeper, key string, decode func([]byte) (*cataloger.Catalog, error), l *logger.Logger) follower.Sink {
 	return &configSink{keeper: k, feed: &configFeed{}, key: key, decode: decode, logger: l, outageLog: newOutageLog(l), ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
 }
+
+// NewConfigFollower returns the feed and the sink that a daemon uses for the configuration.
+func NewConfigFollower(f storer.Feed, k *cataloger.Keeper, key string, decode func([]byte) (*cataloger.Catalog, error), l *logger.Logger, maxAge time.Duration) (storer.Feed, follower.Sink) {
+	feed := &configFeed{Feed: f, keeper: k, maxAge: maxAge}
+	return feed, &configSink{keeper: k, feed: feed, key: key, decode: decode, logger: l, outageLog: newOutageLog(l), ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
+}
