--- a/internal/forwarder/account_test.go
+++ b/internal/forwarder/account_test.go
@@ -14,7 +14,8 @@
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
-// applyAccounts adds accounts to the configuration; each has its name as its key.
+// applyAccounts adds accounts to the configuration; each has its name as its key. All routes are
+// public, so that clients without an account reach them too.
 func (f *fixture) applyAccounts(names ...string) *fixture {
 	f.t.Helper()
 	var list []*cataloger.Account
@@ -25,6 +26,11 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	for _, prefix := range []string{"/safe/", "/unsafe/", "/turn/", "/stream/"} {
+		if r := c.Match("h", prefix); r != nil {
+			r.Public = true
+		}
+	}
 	*f.catalog = cataloger.Keeper{}
 	f.catalog.Apply(c)
 	return f
--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -1,9 +1,12 @@
 package server
 
 import (
+	"time"
+
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/logger"
+	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/tracker"
 )
 
@@ -33,5 +36,11 @@
 
 // NewConfigSink returns the sink that a daemon uses for the configuration.
 func NewConfigSink(k *cataloger.Keeper, key string, decode func([]byte) (*cataloger.Catalog, error), l *logger.Logger) follower.Sink {
-	return &configSink{keeper: k, key: key, decode: decode, logger: l, outageLog: newOutageLog(l), ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
+	return &configSink{keeper: k, feed: &configFeed{}, key: key, decode: decode, logger: l, outageLog: newOutageLog(l), ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
+}
+
+// NewConfigFollower returns the feed and the sink that a daemon uses for the configuration.
+func NewConfigFollower(f storer.Feed, k *cataloger.Keeper, key string, decode func([]byte) (*cataloger.Catalog, error), l *logger.Logger, maxAge time.Duration) (storer.Feed, follower.Sink) {
+	feed := &configFeed{Feed: f, keeper: k, maxAge: maxAge}
+	return feed, &configSink{keeper: k, feed: feed, key: key, decode: decode, logger: l, outageLog: newOutageLog(l), ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
 }
