granter,scoper: [fix] a coordinator of the former build hides no turn of an account

Cause: the coordinator's "no such turn" is final for the daemon that asked. Change: for a scoped id the daemon reads the history itself before it says so, one more read for a turn that doesn't exist. Weighed: a marker without a space, which a client of a former daemon could send itself.

--- a/internal/granter/fixture_test.go
+++ b/internal/granter/fixture_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,17 @@
 	commits int
 	// throttled makes the store refuse all writes as above its rate.
 	throttled atomic.Bool
+	// former is set for a daemon of the previous build, which does not find rows whose keys have
+	// spaces.
+	former atomic.Bool
+}
+
+// Get implements storer.Table.
+func (c *countingTable) Get(ctx context.Context, key string) (storer.Row, error) {
+	if c.former.Load() && strings.Contains(key, " ") {
+		return storer.Row{Key: key}, nil
+	}
+	return c.Table.Get(ctx, key)
 }
 
 // Commit implements storer.Table.
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -14,6 +14,7 @@
 	"pimentorail.example/pimentorail/internal/budgeter"
 	"pimentorail.example/pimentorail/internal/logger"
 	"pimentorail.example/pimentorail/internal/messenger"
+	"pimentorail.example/pimentorail/internal/scoper"
 	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/supervisor"
 )
@@ -245,10 +246,13 @@
 		}
 		s.coordinators.Answered(coordinator.Address)
 	}
-	switch r.Outcome {
-	case NoTurn:
+	switch {
+	case r.Outcome == NoTurn && scoper.IsScoped(t.Parent):
+		// A coordinator of the previous build does not find the rows of scoped ids.
+		return nil, nil
+	case r.Outcome == NoTurn:
 		return nil, errors.WithMessagef(archivist.ErrNoTurn, "read history at coordinator %s", coordinator.Name)
-	case Exhausted:
+	case r.Outcome == Exhausted:
 		return nil, errors.WithMessagef(budgeter.ErrExhausted, "reserve budget at coordinator %s", coordinator.Name)
 	}
 	g := &Grant{granter: s, turn: t, coordinator: coordinator, id: id}
--- a/internal/scoper/scope.go
+++ b/internal/scoper/scope.go
@@ -53,3 +53,6 @@
 
 // String returns a text that names the account's scope, which is empty for the zero Scope.
 func (s Scope) String() string { return s.prefix }
+
+// IsScoped reports whether an id is one that the scope of an account returned.
+func IsScoped(id string) bool { return strings.HasPrefix(id, marker) }
