--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -28,6 +28,7 @@
 	"pimentorail.example/pimentorail/internal/seeder"
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/tunneler"
 	"pimentorail.example/pimentorail/internal/versioner"
 )
 
@@ -96,6 +97,8 @@
 	// rowBytes and historyBytes configure the archivist, and storeTimeout the forwarder.
 	rowBytes, historyBytes int
 	storeTimeout           time.Duration
+	// tunnels lead to replicas through a peer; nil for none.
+	tunnels *tunneler.Tunneler
 }
 
 // behaviour is a replica's handler.
@@ -130,7 +133,7 @@
 	f.forwarder = forwarder.New(forwarder.Dependencies{
 		Catalog: f.catalog, Placements: f.placements, Programs: granter.Start(ctx, turns, budgeter.Start(ctx, f.store, "me"), nil, lines, granter.Options{}), Logger: lines,
 		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
-		Versions: versioner.Start(ctx, f.store), Connector: connector.New(),
+		Versions: versioner.Start(ctx, f.store), Connector: connector.New(), Tunnels: f.tunnels,
 		Reports: testReports{}, Scope: tally.NoopScope, Codec: testCodec{},
 	}, forwarder.Options{StoreTimeout: f.storeTimeout, RetryAfter: time.Second, OutageRetryAfter: time.Second})
 }
