forwarder: [fix] the text of an error is no event of a stream

Other operators' clients found the text of an error, at times its whole head, in the middle of their stream. Cause here: the reader of events took any lines up to an empty one for an event. A stream whose body ends with the connection, or of a replica that writes its error as a chunk, therefore passed "HTTP/1.1 500 ..." with all of its head, JSON, HTML or a line of text on to the client, ended as complete, and its turn was stored. A new line of an event must now be a comment or begin with a name of letters, digits, hyphens and underscores; else the stream counts as broken off: its client sees no last chunk, or 502 if nothing was sent, and nothing is stored. Not seen: text that has the form of a field ("error: broken") still passes as a field that clients ignore.

--- a/internal/forwarder/brokenstream_test.go
+++ b/internal/forwarder/brokenstream_test.go
@@ -200,3 +200,26 @@
 // client as if it were complete, with a part of an event, or with bytes of another response.
 func TestABrokenStreamDoesNotLookComplete(t *testing.T) { checkRows(t, streamRows()) }
 
+// errorTextRows are streams in which the text of an error stands in place of an event.
+func errorTextRows() []responseRow {
+	var rows []responseRow
+	for name, text := range map[string]string{
+		"a response":             errorResponse,
+		"a response until close": "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/event-stream\r\n\r\n" + scriptedEvent(6),
+		"a line of text":         "upstream connect error or disconnect\n\n",
+		"JSON":                   `{"error":"out of memory"}` + "\n\n",
+		"HTML":                   "<html><h1>502 Bad Gateway</h1></html>\n\n",
+	} {
+		rows = append(rows,
+			responseRow{name: name + " in a stream until the end", script: script{untilClose(events4And5, text), closes}, status: 200, body: events4And5, cut: true},
+			responseRow{name: name + " in a chunk", script: script{withChunks("0\r\n\r\n", events4And5, text), keepsOpen}, status: 200, body: events4And5, cut: true},
+			responseRow{name: name + " inside an event", script: script{withChunks("0\r\n\r\n", events4And5, "id: 6\n"+text), keepsOpen}, status: 200, body: events4And5, cut: true},
+			responseRow{name: name + " in place of the first event", script: script{withChunks("0\r\n\r\n", text, events4And5), keepsOpen}, status: 502},
+		)
+	}
+	return rows
+}
+
+// TestTheTextOfAnErrorIsNoEvent guards against a stream without a length, or of a faulty replica,
+// in which the text of an error reaches the client in place of an event.
+func TestTheTextOfAnErrorIsNoEvent(t *testing.T) { checkRows(t, errorTextRows()) }
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -14,6 +14,12 @@
 // errPartialEvent is returned for a stream that ends in the middle of an event.
 var errPartialEvent = errors.New("stream ends in the middle of an event")
 
+// errNoField is returned for a line that belongs to no event, such as the head of another response.
+var errNoField = errors.New("stream has a line that is no field of an event")
+
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\ufeff")
+
 // event is one server-sent event.
 type event struct {
 	// raw is the event as received, including the empty line that ends it.
@@ -55,7 +61,10 @@
 			}
 			continue
 		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
+		name, value, _ := bytes.Cut(bytes.TrimPrefix(line, byteOrderMark), []byte(":"))
+		if !isFieldName(name) {
+			return event{}, errNoField
+		}
 		if string(name) != "data" {
 			continue
 		}
@@ -67,6 +76,18 @@
 	}
 }
 
+// isFieldName reports whether a name consists of letters, digits, hyphens and underscores. It is
+// empty for a comment. Text of errors has spaces, slashes, quotes or brackets before a colon.
+func isFieldName(name []byte) bool {
+	for _, b := range name {
+		letter := 'a' <= b|0x20 && b|0x20 <= 'z'
+		if !letter && (b < '0' || b > '9') && b != '-' && b != '_' {
+			return false
+		}
+	}
+	return true
+}
+
 // line reads one line, appends it to the raw event and returns it.
 func (s *eventReader) line() ([]byte, error) {
 	start := len(s.raw)
