server: [fix] a response over HTTP/1.0 that broke off does not look complete

Other operators' clients saw a broken stream that ended as if it were complete. Cause here: over HTTP/1.0 a response has no chunks and, without a length, ends with its connection. A response that broke off was ended by closing the connection in order, which is the same to the client. Such a connection is now reset. Ruled out: over HTTP/1.1 the last chunk, or a part of the length, is missing, with each Connection header.

--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"net/http"
+
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/logger"
@@ -35,3 +37,6 @@
 func NewConfigSink(k *cataloger.Keeper, key string, decode func([]byte) (*cataloger.Catalog, error), l *logger.Logger) follower.Sink {
 	return &configSink{keeper: k, key: key, decode: decode, logger: l, outageLog: newOutageLog(l), ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
 }
+
+// NewRecovery returns the handler around all handlers of the daemon's servers.
+func NewRecovery(next http.Handler) http.Handler { return &recovery{next: next} }
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"net"
 	"net/http"
 
 	"pimentorail.example/pimentorail/internal/supervisor"
@@ -20,11 +21,27 @@
 		if v != http.ErrAbortHandler {
 			_ = supervisor.Report("server: request "+r.URL.Path, v)
 		}
+		if !r.ProtoAtLeast(1, 1) {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler)
 	}()
 	h.next.ServeHTTP(w, r)
 }
 
+// reset resets the client's connection. Over HTTP/1.0 a response without a length ends when its
+// connection is closed, so that one that broke off would look complete.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // The server closes the connection.
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // logFailure logs a panic that the daemon has survived, or the error of one of its loops.
 func (d *Daemon) logFailure(f supervisor.Failure) {
 	l := d.logger.Event("server", "recovered").Str("from", f.Name()).Err(f.Err())
