connector: [fix] a head that holds the beginning of another response is none

A client got a replica's 200 as 500, with that replica's stamp (MIXED), or as "not run" while the replica ran it. Cause: a faulty replica wrote a part of a further response after a complete one, and the response to the next request on the connection continued its last line: "HTTP/1.1 500 Internal Server Error", "Cause: broHTTP/1.1 200 OK", and then the header and the id of the right response. The id does not distinguish that. A status or value in which the first line of a response begins now fails the exchange as one that may have run. A value that names only the protocol, such as Via, does not.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -162,6 +162,9 @@
 		e.conn.beginHead()
 		resp, err := http.ReadResponse(e.conn.reader, request)
 		e.conn.endHead()
+		if err == nil {
+			err = checkHead(resp)
+		}
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
--- /dev/null
+++ b/internal/connector/head.go
@@ -0,0 +1,36 @@
+package connector
+
+import (
+	"net/http"
+	"regexp"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// statusLine matches the beginning of the first line of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// errJoinedHeads is returned for a head that holds the first line of another response.
+var errJoinedHeads = errors.New("response head holds the beginning of another response")
+
+// checkHead returns an error for a head that consists of two. A faulty replica may write a part of
+// an extra response, and the response to the next request continues its last line: the head then
+// has the status of the one and the id of the other.
+func checkHead(r *http.Response) error {
+	if holdsStatusLine(r.Status) {
+		return errJoinedHeads
+	}
+	for _, values := range r.Header {
+		for _, v := range values {
+			if holdsStatusLine(v) {
+				return errJoinedHeads
+			}
+		}
+	}
+	return nil
+}
+
+func holdsStatusLine(s string) bool {
+	return strings.Contains(s, "HTTP/1.") && statusLine.MatchString(s)
+}
--- a/internal/forwarder/brokenbody_test.go
+++ b/internal/forwarder/brokenbody_test.go
@@ -81,6 +81,9 @@
 	for name, rest := range map[string]string{
 		"an error":               errorResponse,
 		"an error without an id": strings.Replace(errorResponse, "Id: $ID\r\n", "", 1),
+		"a part of a status":     "HTTP/1.1 500 Inter",
+		"a part of a head":       "HTTP/1.1 500 Internal Server Error\r\nCause: bro",
+		"a part of a refusal":    "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nCause: bro",
 		"events":                 scriptedEvent(6),
 		"a further last chunk":   "0\r\n\r\n",
 	} {
@@ -101,6 +104,8 @@
 						continue
 					}
 					is.Equal(got.header.Get("Stamp"), "") // The daemon's own fault.
+					// The replica runs each request that reaches it.
+					is.True(!s.reached() || !strings.Contains(got.body, `"ran":"no"`))
 				}
 			})
 		}
