forwarder,connector: [fix] the type of a stream is compared without its case and parameters

A stream that broke off looked complete, and a complete turn was not stored. Cause: the type of a response was compared by its first letters. "Text/Event-Stream" was forwarded as one body, which a client gets only at its end, also in the middle of an event, and whose turn is not stored; "text/event-stream-of-errors" counted as a stream.

--- a/internal/connector/head.go
+++ b/internal/connector/head.go
@@ -34,3 +34,9 @@
 func holdsStatusLine(s string) bool {
 	return strings.Contains(s, "HTTP/1.") && statusLine.MatchString(s)
 }
+
+// IsStream reports whether a response is a stream of events.
+func IsStream(r *http.Response) bool {
+	kind, _, _ := strings.Cut(r.Header.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+}
--- a/internal/connector/process.go
+++ b/internal/connector/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"syscall"
 	"time"
 
@@ -129,7 +128,9 @@
 	if _, err = e.send(&Call{Method: http.MethodGet, Target: q.Process.ReportTarget(), Host: q.Address}); err == nil {
 		err = e.receive(&Call{Method: http.MethodGet, Matches: q.Process.IsReport})
 	}
-	if err == nil && !isStream(e.Response) {
+	// A replica without reports may run the request for one like any other, and its stream would
+	// take as long as a turn.
+	if err == nil && !IsStream(e.Response) {
 		report, err = io.ReadAll(io.LimitReader(e, maxReportBytes))
 	}
 	if err == nil && e.Response.StatusCode != http.StatusOK {
@@ -138,12 +139,6 @@
 	return report, e.finish(), e.observe(err)
 }
 
-// isStream reports whether a response is a stream of events. A replica without reports may run
-// the request for one like any other, and its stream would take as long as a turn.
-func isStream(r *http.Response) bool {
-	return strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
-}
-
 // ObserveEnds sets the function that is called when a replica's process is seen to end: its
 // connection broke off or was reset, or a dial was refused. It must be set before the first
 // call. What a peer's connection shows is not reported, nor what a cut link does.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -208,7 +207,7 @@
 }
 
 func isStream(r *http.Response) bool {
-	return r.StatusCode == http.StatusOK && strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
+	return r.StatusCode == http.StatusOK && connector.IsStream(r)
 }
 
 // forwardBody forwards a non-streaming response. A response of up to maxBufferedResponse
