forwarder: [fix] events whose ids do not increase are not forwarded

Clients of a faulty replica got events twice, or of two runs, in a stream that ended as complete (ORDER), and its turn was stored; a client that took a stream up at another daemon got events that it had. Cause: ids were forwarded unread. An event whose id, as a number, is not greater than that of the event before, or than the last one that the client names, now ends the stream as one that broke off; 502 if nothing was sent. Events without an id and ids that are no numbers are not checked, nor are gaps, since ids need only increase. The fixture's replica began each resumed stream anew, which it must not: it now goes on after the last event, and the tests that use it are as strict.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -257,7 +257,7 @@
 	// persisted; chunked encoding marks the end explicitly.
 	e.Response.Header.Del("Content-Length")
 	flusher := http.NewResponseController(w)
-	s := newEventReader(e)
+	s := newEventReader(e, j.eventOrder())
 	for {
 		ev, err := s.next()
 		if err == io.EOF {
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -35,10 +35,12 @@
 	reader *bufio.Reader
 	raw    []byte
 	data   []byte
+	order  eventOrder
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 4<<10)}
+// newEventReader returns a reader of a stream whose events follow the given order.
+func newEventReader(r io.Reader, o eventOrder) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 4<<10), order: o}
 }
 
 // next returns the next event, which is valid until the following call. It returns
@@ -65,6 +67,11 @@
 		if !isFieldName(name) {
 			return event{}, errNoField
 		}
+		if string(name) == "id" {
+			if err := s.order.add(value); err != nil {
+				return event{}, err
+			}
+		}
 		if string(name) != "data" {
 			continue
 		}
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -262,16 +262,21 @@
 	_, _ = io.WriteString(w, "another's")
 }
 
-// streamEvents sends two events and then ends, or aborts within a third event.
+// streamEvents sends two events, after the last one that the client has, and then ends, or aborts
+// within a third event.
 func streamEvents(complete bool) behaviour {
-	return func(w http.ResponseWriter, _ *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
-		for i := range 2 {
+		first := 0
+		if last, err := strconv.Atoi(r.Header.Get("Last-Event")); err == nil {
+			first = last + 1
+		}
+		for i := first; i < first+2; i++ {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: word%d\n\n", i, i)
 			_ = http.NewResponseController(w).Flush()
 		}
 		if !complete {
-			_, _ = io.WriteString(w, "id: 2\nda")
+			_, _ = fmt.Fprintf(w, "id: %d\nda", first+2)
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/forwarder/resumption.go
+++ b/internal/forwarder/resumption.go
@@ -17,6 +17,14 @@
 	return q.Resumes != "" || j.route.Kind == cataloger.Streaming && q.LastEventID != ""
 }
 
+// eventOrder returns the order of the events that the client is to receive.
+func (j *job) eventOrder() eventOrder {
+	if !j.resumes() {
+		return eventOrder{}
+	}
+	return newEventOrder(j.request.LastEventID)
+}
+
 // stream returns the stream that a request of the same caller began.
 func (q *Request) stream(requestID string) versioner.Stream {
 	return versioner.Stream{Caller: q.Caller, Hostname: q.Hostname, RequestID: requestID}
