--- a/internal/forwarder/scripted_test.go
+++ b/internal/forwarder/scripted_test.go
@@ -45,6 +45,8 @@
 // scriptedReplica answers requests with one script, byte by byte as it is written.
 type scriptedReplica struct {
 	listener net.Listener
+	// peer reaches the replica in place of the daemon, whose link is cut; nil if it is not.
+	peer *scriptedPeer
 
 	mu     sync.Mutex
 	script script
@@ -122,7 +124,21 @@
 }
 
 // scriptedPeer is a daemon that reaches a replica. It implements tunneler.Peers.
-type scriptedPeer struct{ service *tunneler.Service }
+type scriptedPeer struct {
+	service *tunneler.Service
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// kill closes the connections of a peer, as the end of its process does.
+func (p *scriptedPeer) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close()
+	}
+}
 
 // Others implements tunneler.Peers.
 func (p *scriptedPeer) Others() []assigner.Peer {
@@ -147,6 +163,9 @@
 	if err != nil {
 		return nil, err
 	}
+	p.mu.Lock()
+	p.conns = append(p.conns, served)
+	p.mu.Unlock()
 	go p.service.ServeStream(served)
 	return c, nil
 }
@@ -190,8 +209,8 @@
 		trackerOfPeer := tracker.New(tracker.Options{})
 		trackerOfPeer.Replace([]*tracker.Replica{&known}, time.Now())
 		lines := logger.Start(t.Context(), io.Discard)
-		p := &scriptedPeer{service: tunneler.NewService(trackerOfPeer, connector.New(), lines)}
-		f.tunnels = tunneler.New("me", p, lines)
+		s.peer = &scriptedPeer{service: tunneler.NewService(trackerOfPeer, connector.New(), lines)}
+		f.tunnels = tunneler.New("me", s.peer, lines)
 		f.startForwarder(t.Context())
 		r.Address = closedAddress(t)
 	}
