forwarder: [test] a stream that broke off is taken up at another daemon, and its replica errs

The reported sequence as a whole: a stream begins at one daemon and breaks off within an event, another daemon takes it up with what the store holds, and its replica gives each of the errors, streams and texts of the other tables (102). The kept connection that a replica closes after a response may cost the next request, as 502; the client asks again then.

--- a/internal/forwarder/brokenstream_test.go
+++ b/internal/forwarder/brokenstream_test.go
@@ -88,6 +88,13 @@
 		time.Sleep(resendDelay)
 	}
 	is.True(s.reached())
+	r.compare(t, got)
+}
+
+// compare compares the client's response.
+func (r *responseRow) compare(t *testing.T, got response) {
+	t.Helper()
+	is := is.New(t)
 	is.Equal(got.status, r.status)
 	is.Equal(got.err != nil, r.cut) // A response that is not complete must not look so.
 	if r.isFault() {
