--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -212,7 +211,7 @@
 }
 
 func isStream(r *http.Response) bool {
-	return r.StatusCode == http.StatusOK && strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
+	return r.StatusCode == http.StatusOK && connector.IsStream(r)
 }
 
 // forwardBody forwards a non-streaming response. A response of up to maxBufferedResponse
@@ -262,7 +261,7 @@
 	// persisted; chunked encoding marks the end explicitly.
 	e.Response.Header.Del("Content-Length")
 	flusher := http.NewResponseController(w)
-	s := newEventReader(e)
+	s := newEventReader(e, j.eventOrder())
 	for {
 		ev, err := s.next()
 		if err == io.EOF {
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -29,6 +29,7 @@
 	"pimentorail.example/pimentorail/internal/seeder"
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/tracker"
+	"pimentorail.example/pimentorail/internal/tunneler"
 	"pimentorail.example/pimentorail/internal/versioner"
 )
 
@@ -97,6 +98,8 @@
 	// rowBytes and historyBytes configure the archivist, and storeTimeout the forwarder.
 	rowBytes, historyBytes int
 	storeTimeout           time.Duration
+	// tunnels lead to replicas through a peer; nil for none.
+	tunnels *tunneler.Tunneler
 }
 
 // behaviour is a replica's handler.
@@ -131,7 +134,7 @@
 	f.forwarder = forwarder.New(forwarder.Dependencies{
 		Catalog: f.catalog, Placements: f.placements, Programs: granter.Start(ctx, turns, budgeter.Start(ctx, f.store, "me"), nil, lines, granter.Options{}), Logger: lines,
 		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
-		Versions: versioner.Start(ctx, f.store), Connector: connector.New(),
+		Versions: versioner.Start(ctx, f.store), Connector: connector.New(), Tunnels: f.tunnels,
 		Reports: testReports{}, Scope: tally.NoopScope, Codec: testCodec{},
 	}, forwarder.Options{StoreTimeout: f.storeTimeout, RetryAfter: time.Second, OutageRetryAfter: time.Second})
 }
@@ -261,16 +264,21 @@
 	_, _ = io.WriteString(w, "another's")
 }
 
-// streamEvents sends two events and then ends, or aborts within a third event.
+// streamEvents sends two events, after the last one that the client has, and then ends, or aborts
+// within a third event.
 func streamEvents(complete bool) behaviour {
-	return func(w http.ResponseWriter, _ *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
-		for i := range 2 {
+		first := 0
+		if last, err := strconv.Atoi(r.Header.Get("Last-Event")); err == nil {
+			first = last + 1
+		}
+		for i := first; i < first+2; i++ {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: word%d\n\n", i, i)
 			_ = http.NewResponseController(w).Flush()
 		}
 		if !complete {
-			_, _ = io.WriteString(w, "id: 2\nda")
+			_, _ = fmt.Fprintf(w, "id: %d\nda", first+2)
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"net/http"
 	"time"
 
 	"pimentorail.example/pimentorail/internal/cataloger"
@@ -44,3 +45,6 @@
 	feed := &configFeed{Feed: f, keeper: k, maxAge: maxAge}
 	return feed, &configSink{keeper: k, feed: feed, key: key, decode: decode, logger: l, outageLog: newOutageLog(l), ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
 }
+
+// NewRecovery returns the handler around all handlers of the daemon's servers.
+func NewRecovery(next http.Handler) http.Handler { return &recovery{next: next} }
