budgeter: [fix] a program with a long id has a budget

Callers saw: a turn with a budget whose program has an id of more than 200 bytes waited for its deadline and was refused with 503, each time, since the store takes no such key and a refused write is repeated. Change: such an id is hashed in the key. All other keys stay, also those of deployments without accounts (golden test). Result: TestAProgramWithALongIDHasABudget failed before after 10 s ("key is too long: storer: request refused") and passes now; the keys in TestKeysOfBudgetsStay are those that the former code wrote in the same run.

--- a/internal/budgeter/row.go
+++ b/internal/budgeter/row.go
@@ -1,6 +1,8 @@
 package budgeter
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 
@@ -12,6 +14,14 @@
 // partitions.
 const keyPrefixes = 256
 
+const (
+	// maxPlainIDBytes is the length of the longest id that is part of a key unhashed, since the
+	// store takes no longer key.
+	maxPlainIDBytes = 200
+	// hashedPrefix begins the part of a key that stands for a longer id. No other id begins with it.
+	hashedPrefix = " #"
+)
+
 // maxHeld bounds the tokens of one holder, so that sums of them don't overflow.
 const maxHeld = 1 << 48
 
@@ -68,6 +78,12 @@
 	return r, nil
 }
 
+// key returns the key of a program's row.
 func key(program string) string {
-	return fmt.Sprintf("budgets/%02x/%s", xxhash.Sum64String(program)%keyPrefixes, program)
+	prefix := xxhash.Sum64String(program) % keyPrefixes
+	if len(program) > maxPlainIDBytes {
+		sum := sha256.Sum256([]byte(program))
+		program = hashedPrefix + hex.EncodeToString(sum[:])
+	}
+	return fmt.Sprintf("budgets/%02x/%s", prefix, program)
 }
