budgeter,scoper: [fix] an account with many programs does not push out the views of other accounts

Callers would see: the tokens reserved in advance for a program that is idle for minutes are lost, and its last turn is refused as over the budget, if another account has used 8,192 programs at the daemon meanwhile. One account alone keeps the former bound. Change: beyond the bound, the account that has most loses the view that was evicted first.

--- a/internal/budgeter/retired.go
+++ b/internal/budgeter/retired.go
@@ -1,6 +1,10 @@
 package budgeter
 
-import "container/list"
+import (
+	"container/list"
+
+	"pimentorail.example/pimentorail/internal/scoper"
+)
 
 // maxRetired bounds the views that are remembered after their eviction.
 const maxRetired = 8192
@@ -11,22 +15,35 @@
 	spent, held  int
 }
 
-// retired are the evicted views that hold unused tokens. Beyond maxRetired, those evicted
-// first are forgotten, and their unused tokens are lost.
+// retired are the evicted views that hold unused tokens. Beyond maxRetired, the account that has
+// most loses those evicted first, and their unused tokens are lost.
 type retired struct {
-	// order lists the views, evicted last first.
-	order  *list.List
+	// orders lists the views of each account, evicted last first.
+	orders map[string]*list.List
 	byName map[string]*list.Element
 }
 
-func newRetired() *retired { return &retired{order: list.New(), byName: map[string]*list.Element{}} }
+func newRetired() *retired {
+	return &retired{orders: map[string]*list.List{}, byName: map[string]*list.Element{}}
+}
 
 func (r *retired) add(v retiredView) {
-	r.byName[v.name] = r.order.PushFront(v)
-	if r.order.Len() > maxRetired {
-		oldest := r.order.Remove(r.order.Back()).(retiredView)
-		delete(r.byName, oldest.name)
+	account := scoper.Account(v.name)
+	order := r.orders[account]
+	if order == nil {
+		order = list.New()
+		r.orders[account] = order
+	}
+	r.byName[v.name] = order.PushFront(v)
+	if len(r.byName) <= maxRetired {
+		return
 	}
+	for _, o := range r.orders {
+		if o.Len() > order.Len() {
+			order = o
+		}
+	}
+	r.remove(order.Back())
 }
 
 // take removes and returns the view of a program.
@@ -35,8 +52,19 @@
 	if !ok {
 		return retiredView{}, false
 	}
-	delete(r.byName, name)
-	return r.order.Remove(e).(retiredView), true
+	return r.remove(e), true
+}
+
+func (r *retired) remove(e *list.Element) retiredView {
+	v := e.Value.(retiredView)
+	account := scoper.Account(v.name)
+	order := r.orders[account]
+	order.Remove(e)
+	if order.Len() == 0 {
+		delete(r.orders, account)
+	}
+	delete(r.byName, v.name)
+	return v
 }
 
 // evict removes the view of an unused program and remembers it if it holds unused tokens. It
--- a/internal/scoper/scope.go
+++ b/internal/scoper/scope.go
@@ -51,5 +51,14 @@
 	return len(id) <= maxPlainBytes && !strings.Contains(id, hashed) && utf8.ValidString(id)
 }
 
+// Account returns what the scoped ids of one account have in common, which is empty for an id of
+// the zero Scope.
+func Account(scopedID string) string {
+	if !strings.HasPrefix(scopedID, marker) {
+		return ""
+	}
+	return scopedID[:min(len(scopedID), len(marker)+accountDigits)]
+}
+
 // String returns a text that names the account's scope, which is empty for the zero Scope.
 func (s Scope) String() string { return s.prefix }
--- a/internal/scoper/scope_test.go
+++ b/internal/scoper/scope_test.go
@@ -66,6 +66,9 @@
 			if len(scoped) > maxKeyBytes-len(".0123456789abcdef.65536") || !strings.HasPrefix(scoped, " ") {
 				t.Fatalf("scoped id %q of %d bytes", scoped, len(scoped))
 			}
+			if scoper.Account(scoped) != scoper.Of(a.account).String() {
+				t.Fatalf("scoped id %q is one of scope %q", scoped, scoper.Account(scoped))
+			}
 			var decoded string
 			if text, err := json.Marshal(scoped); err != nil || json.Unmarshal(text, &decoded) != nil || decoded != scoped {
 				t.Fatalf("scoped id %q is %q after JSON", scoped, decoded)
@@ -92,6 +95,7 @@
 	is := is.New(t)
 	for _, id := range []string{"", "a", "a#1", "\xff", strings.Repeat("x", 300)} {
 		is.Equal(scoper.Scope{}.ID(id), id)
+		is.Equal(scoper.Account(id), "")
 	}
 	is.Equal(scoper.Scope{}.String(), "")
 }
