--- a/internal/forwarder/account_test.go
+++ b/internal/forwarder/account_test.go
@@ -93,7 +93,6 @@
 	is.Equal(f.sendFor("north", "t2", "/turn/", "more", "Parent", "t1").status, 404)
 	is.Equal(f.sendFor("", "t2", "/turn/", "more", "Parent", "t1").status, 404)
 	is.Equal(f.sendFor("north", "t1", "/turn/", "north's;").status, 200)
-	f.applyRoutes()
 	*f.catalog = cataloger.Keeper{}
 	f.applyRoutes()
 	is.Equal(f.sendFor("", "t3", "/turn/", "more", "Parent", "t1").status, 200)
@@ -116,6 +115,24 @@
 	}
 }
 
+// TestBudgetsWithoutAnAccountAreNotUsed guards against a program of an account that spends, or finds
+// spent, a budget of which no row says whose it is.
+func TestBudgetsWithoutAnAccountAreNotUsed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, streamEvents(true)).applyRoutes()
+	run := func(account string) int { return f.sendFor(account, "t", "/turn/", "in", "Budget", "20").status }
+	is.Equal(run(""), 200)
+	is.Equal(run(""), http.StatusPaymentRequired)
+	f.applyAccounts("north")
+	is.Equal(run("north"), 200)
+	is.Equal(run("north"), http.StatusPaymentRequired)
+	rows := len(f.keys("budgets/"))
+	*f.catalog = cataloger.Keeper{}
+	f.applyRoutes()
+	is.Equal(run(""), http.StatusPaymentRequired)
+	is.Equal(rows, 2)
+}
+
 // TestAStreamOfAnotherAccountIsNotRecorded guards against a resumption of another account's stream,
 // and against a response that tells that it exists.
 func TestAStreamOfAnotherAccountIsNotRecorded(t *testing.T) {
