server,soaker,cataloger: [fix] a daemon whose store falls silent reads the configuration through a peer in time

Cause: a read of the configuration takes up to 2.3 s to fail. After a pause, the process had found no peer after 1 s, and the pause then counted as an outage, in which known keys are served.

A process that resumed tries for 1.5 s.

--- a/internal/cataloger/confirmation.go
+++ b/internal/cataloger/confirmation.go
@@ -9,8 +9,8 @@
 	maxAttempt    = 2500 * time.Millisecond
 	maxAttemptGap = 2600 * time.Millisecond
 	// resumptionGrace is the time for which a process that did not run tries to read the
-	// configuration before that counts as an outage. A way through a peer is found in 0.5 s.
-	resumptionGrace = time.Second
+	// configuration before that counts as an outage. A way through a peer is found in 1.1 s.
+	resumptionGrace = 1500 * time.Millisecond
 )
 
 // confirmation is the state of the reads of the configuration. It distinguishes an outage, in
