forwarder,connector,server: [fix] responses are held within a part of the process's memory

Seen by callers: a faulty replica sends bytes without end to many clients at a time, the machine holds them until it has no memory, and the requests of all its clients end (LOST).

Cause: what is held for a response had a bound for each response only: 1 MB of an event and as much of its data, 256 KB of a body, 16 MB of the output of a turn whose history is kept, twice while it is stored. Nothing bounded the sum, and a client that reads nothing keeps it until the deadline.

Not so: heads, chunk extensions, trailers, informational responses and responses of other requests, which had bounds that are small enough (0 to 10 MB); these rows passed before.

Change: an eighth of the memory is for responses in progress. Events, buffered bodies, outputs and long heads count against it beyond the first 16 KB of a response, so ordinary ones take no lock. A response may hold half of what the others of its replica leave of half of what the other replicas leave (responseShare): it has a quarter in calm, all responses of a replica have less than half, and a replica that is sound has an eighth beside one that is not. When a share is used up, an event or an output breaks off, never ends as complete; a body is passed on instead of buffered; a turn whose output can't be held is not sent, 503 with Retry-After. The data of events is no longer copied, and the output is kept in chunks. Large bodies are copied with 8 KB in place of 32 KB.

The limit is new for users in one case: on a machine of 112 MB an output above 3.5 MB breaks off, the same way as one above 16 MB did.

--- a/internal/connector/call.go
+++ b/internal/connector/call.go
@@ -41,6 +41,9 @@
 	ID string
 	// Matches reports whether a response belongs to this request; nil accepts any.
 	Matches func(r *http.Response) bool
+	// HoldHead reserves memory for a response head that is longer than usual, and returns an
+	// error that ends the exchange; nil for no limit.
+	HoldHead func(bytes int) error
 }
 
 // size returns the length of the body in bytes.
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -26,6 +26,8 @@
 	// bytes that may still be read for it. A replica in trouble may send bytes without end.
 	inHead   bool
 	headLeft int
+	// holdHead reserves memory for a head beyond readBufferBytes; nil for no limit.
+	holdHead func(bytes int) error
 	// openedAt is a time at which the connection was open already.
 	openedAt time.Time
 	// lastUsed is when the last exchange ended, and idleTimeout how long the connection
@@ -40,9 +42,21 @@
 }
 
 // beginHead limits the bytes that are read until endHead is called.
-func (c *conn) beginHead() { c.inHead, c.headLeft = true, maxHeadBytes }
+func (c *conn) beginHead(hold func(bytes int) error) {
+	c.inHead, c.headLeft, c.holdHead = true, maxHeadBytes, hold
+}
 
-func (c *conn) endHead() { c.inHead = false }
+func (c *conn) endHead() { c.inHead, c.holdHead = false, nil }
+
+// countHead counts n bytes that were read of a head.
+func (c *conn) countHead(n int) error {
+	c.headLeft -= n
+	beyond := min(n, maxHeadBytes-c.headLeft-readBufferBytes)
+	if beyond <= 0 || c.holdHead == nil {
+		return nil
+	}
+	return c.holdHead(beyond * headCopies)
+}
 
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
@@ -53,12 +67,14 @@
 		p = p[:min(len(p), c.headLeft)]
 	}
 	n, err := c.Conn.Read(p)
-	if c.inHead {
-		c.headLeft -= n
-	}
 	if n > 0 && !c.detoured {
 		c.heardAt.Store(time.Now().UnixNano())
 	}
+	if c.inHead {
+		if holdErr := c.countHead(n); holdErr != nil {
+			return 0, holdErr
+		}
+	}
 	return n, err
 }
 
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -16,6 +16,9 @@
 	readBufferBytes = 4 << 10
 	// maxHeadBytes bounds the head of a response, and what the read buffer takes beyond it.
 	maxHeadBytes = 64 << 10
+	// headCopies is the memory of a head as a multiple of its bytes: its fields, and the map of
+	// them that is written to the client.
+	headCopies = 4
 	// dialTimeout allows for one lost SYN packet, which is retransmitted after a second.
 	dialTimeout = 1500 * time.Millisecond
 	// userTimeout is the time after which a connection with unacknowledged bytes is closed. A
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -159,7 +159,7 @@
 func (e *Exchange) receive(q *Call) error {
 	request := &http.Request{Method: q.Method}
 	for range maxSkippedResponses {
-		e.conn.beginHead()
+		e.conn.beginHead(q.HoldHead)
 		resp, err := http.ReadResponse(e.conn.reader, request)
 		e.conn.endHead()
 		if err != nil {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -22,6 +22,8 @@
 	// maxBufferedResponse is the size in bytes up to which a non-streaming response is
 	// buffered before it is forwarded.
 	maxBufferedResponse = 256 << 10
+	// copyBufferBytes is the size of the reads of a response that is not buffered.
+	copyBufferBytes = freeResponseBytes / 2
 	// discardTimeout bounds the read of a response that is not forwarded. The request waits
 	// for it before it is sent to another replica.
 	discardTimeout = 50 * time.Millisecond
@@ -96,6 +98,7 @@
 	outcome := selector.Unknown
 	defer func() { c.End(outcome) }()
 	res := f.sendOnce(ctx, w, j, c)
+	f.reportMemory(j, c, res)
 	f.recordEvidence(j, c, res)
 	outcome = res.outcome()
 	return res
@@ -132,6 +135,12 @@
 			return unsent
 		}
 	}
+	if j.turn.hasOutput() && !f.responses.takesOutput(c.Instance) {
+		j.cause = errors.Wrap(errResponseMemory, "output of a turn")
+		return refused
+	}
+	lease := &responseLease{memory: f.responses, instance: c.Instance}
+	defer lease.close()
 	body := j.turn.body()
 	if body == nil {
 		body = [][]byte{q.Body}
@@ -139,7 +148,7 @@
 	var a ResponseMetadata
 	e, err := f.conns.Do(ctx, &connector.Call{
 		Instance: c.Instance, Address: c.Replica.Address, ID: q.ID, Method: q.Method, Target: q.Target, Host: q.Host,
-		Header: f.codec.EncodeRequest(q, meta), Body: body, Deadline: j.deadline, Limit: f.connectionLimit(j.service), Fresh: !j.route.Repeatable(), Detour: f.detour(c.Replica), Process: f.processOf(j, c),
+		Header: f.codec.EncodeRequest(q, meta), Body: body, Deadline: j.deadline, Limit: f.connectionLimit(j.service), Fresh: !j.route.Repeatable(), Detour: f.detour(c.Replica), Process: f.processOf(j, c), HoldHead: lease.hold,
 		Matches: func(r *http.Response) bool {
 			a = f.codec.DecodeResponse(r.StatusCode, r.Header)
 			if a.Leaving && !a.Misdirected && c.ReportLeaving() {
@@ -171,9 +180,9 @@
 		f.discard(e)
 		return refused
 	case isStream(e.Response) && j.route.Kind == cataloger.Streaming:
-		return f.forwardStream(ctx, w, j, c, e)
+		return f.forwardStream(ctx, w, j, c, e, lease)
 	}
-	return f.forwardBody(ctx, w, j, e)
+	return f.forwardBody(ctx, w, j, e, lease)
 }
 
 // classifyError returns the result of an exchange that failed with err, and sets j.cause.
@@ -213,28 +222,50 @@
 
 // forwardBody forwards a non-streaming response. A response of up to maxBufferedResponse
 // bytes is read completely before its first byte is forwarded, so that the request can
-// still be retried if the read fails.
-func (f *Forwarder) forwardBody(ctx context.Context, w http.ResponseWriter, j *job, e *connector.Exchange) result {
-	body, err := io.ReadAll(io.LimitReader(e, maxBufferedResponse+1))
+// still be retried if the read fails. Less is read if the memory does not suffice.
+func (f *Forwarder) forwardBody(ctx context.Context, w http.ResponseWriter, j *job, e *connector.Exchange, l *responseLease) result {
+	body := &leasedBuffer{lease: l}
+	complete, err := readStart(e, body)
 	if err != nil {
 		return f.classifyError(ctx, j, errors.Wrap(err, "read body"))
 	}
 	j.firstAfter = time.Since(j.request.Arrived)
 	f.writeHead(w, j, e.Response)
-	if _, err := w.Write(body); err != nil {
+	if _, err := w.Write(body.bytes); err != nil {
 		j.cause = errors.Wrap(err, "write to client")
 		return canceled
 	}
-	if len(body) <= maxBufferedResponse {
+	if complete {
 		return answered
 	}
-	if _, err := io.Copy(w, e); err != nil {
+	body.clear(0)
+	// The method ReadFrom of the writer would take a larger buffer, which is not counted.
+	if _, err := io.CopyBuffer(struct{ io.Writer }{w}, e, make([]byte, copyBufferBytes)); err != nil {
 		j.cause = errors.Wrap(err, "forward body")
 		return truncated
 	}
 	return answered
 }
 
+// readStart reads a body, and returns false if there is more of it than may be buffered.
+func readStart(r io.Reader, b *leasedBuffer) (complete bool, err error) {
+	for len(b.bytes) <= maxBufferedResponse {
+		if b.grow(1) != nil {
+			return false, nil
+		}
+		free := b.bytes[len(b.bytes):min(cap(b.bytes), maxBufferedResponse+1)]
+		n, err := r.Read(free)
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		if err == io.EOF {
+			return true, nil
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+	return false, nil
+}
+
 // writeHead sends the status and header of a replica's response to the client.
 func (f *Forwarder) writeHead(w http.ResponseWriter, j *job, r *http.Response) {
 	h := w.Header()
@@ -253,12 +284,12 @@
 
 // forwardStream forwards events as they arrive and ends the client's stream only after
 // the turn is persisted.
-func (f *Forwarder) forwardStream(ctx context.Context, w http.ResponseWriter, j *job, c *selector.Choice, e *connector.Exchange) result {
+func (f *Forwarder) forwardStream(ctx context.Context, w http.ResponseWriter, j *job, c *selector.Choice, e *connector.Exchange, l *responseLease) result {
 	// With a Content-Length the client would see the end of the response before the turn is
 	// persisted; chunked encoding marks the end explicitly.
 	e.Response.Header.Del("Content-Length")
 	flusher := http.NewResponseController(w)
-	s := newEventReader(e)
+	s := newEventReader(e, l)
 	for {
 		ev, err := s.next()
 		if err == io.EOF {
@@ -276,7 +307,10 @@
 			f.recordOrigin(j, c, e.OpenedAt())
 			f.writeHead(w, j, e.Response)
 		}
-		j.turn.addEvent(ev, j.service.EventTokens)
+		if err := j.turn.addEvent(ev, j.service.EventTokens, l); err != nil {
+			j.cause = errors.Wrap(err, "add event to turn")
+			return truncated
+		}
 		if j.turn.isTooLarge() {
 			j.cause = errors.Wrap(archivist.ErrTooLarge, "add event to turn")
 			return truncated
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -8,8 +8,12 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// eventBufferBytes is the size up to which the buffer for events is kept between events.
+	eventBufferBytes = 8 << 10
+)
 
 // errPartialEvent is returned for a stream that ends in the middle of an event.
 var errPartialEvent = errors.New("stream ends in the middle of an event")
@@ -18,66 +22,65 @@
 type event struct {
 	// raw is the event as received, including the empty line that ends it.
 	raw []byte
-	// data is the value of the event's data lines, joined by newlines.
-	data []byte
 	// hasData is set if the event has a data line; only such events carry tokens.
 	hasData bool
 }
 
+// dataOf returns the value of a line without its end, and false if it is not a data line.
+func dataOf(line []byte) ([]byte, bool) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	return bytes.TrimPrefix(value, []byte(" ")), string(name) == "data"
+}
+
 // eventReader splits a stream into events.
 type eventReader struct {
 	reader *bufio.Reader
-	raw    []byte
-	data   []byte
+	raw    leasedBuffer
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 4<<10)}
+func newEventReader(r io.Reader, l *responseLease) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 4<<10), raw: leasedBuffer{lease: l}}
 }
 
 // next returns the next event, which is valid until the following call. It returns
 // io.EOF at the end of a complete stream.
 func (s *eventReader) next() (event, error) {
-	s.raw, s.data = s.raw[:0], s.data[:0]
+	s.raw.clear(eventBufferBytes)
 	hasData := false
 	for {
 		line, err := s.line()
 		if err != nil {
-			if err == io.EOF && len(bytes.TrimSpace(s.raw)) > 0 {
+			if err == io.EOF && len(bytes.TrimSpace(s.raw.bytes)) > 0 {
 				err = errPartialEvent
 			}
 			return event{}, err
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			if len(s.raw) > 2 {
-				return event{raw: s.raw, data: s.data, hasData: hasData}, nil
+			if len(s.raw.bytes) > 2 {
+				return event{raw: s.raw.bytes, hasData: hasData}, nil
 			}
 			continue
 		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		if string(name) != "data" {
-			continue
-		}
-		if hasData {
-			s.data = append(s.data, '\n')
-		}
-		s.data = append(s.data, bytes.TrimPrefix(value, []byte(" "))...)
-		hasData = true
+		_, isData := dataOf(line)
+		hasData = hasData || isData
 	}
 }
 
 // line reads one line, appends it to the raw event and returns it.
 func (s *eventReader) line() ([]byte, error) {
-	start := len(s.raw)
+	start := len(s.raw.bytes)
 	for {
 		chunk, err := s.reader.ReadSlice('\n')
-		s.raw = append(s.raw, chunk...)
-		switch {
-		case len(s.raw) > maxEventBytes:
+		if len(s.raw.bytes)+len(chunk) > maxEventBytes {
 			return nil, errors.Errorf("event is longer than %d bytes", maxEventBytes)
+		}
+		if memoryErr := s.raw.append(chunk); memoryErr != nil {
+			return nil, memoryErr
+		}
+		switch {
 		case err == nil:
-			return s.raw[start:], nil
+			return s.raw.bytes[start:], nil
 		case err != bufio.ErrBufferFull:
 			return nil, err
 		}
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -96,6 +96,8 @@
 	// rowBytes and historyBytes configure the archivist, and storeTimeout the forwarder.
 	rowBytes, historyBytes int
 	storeTimeout           time.Duration
+	// responseBytes limits the memory of responses, zero for no limit.
+	responseBytes int64
 }
 
 // behaviour is a replica's handler.
@@ -132,7 +134,7 @@
 		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
 		Versions: versioner.Start(ctx, f.store), Connector: connector.New(),
 		Reports: testReports{}, Scope: tally.NoopScope, Codec: testCodec{},
-	}, forwarder.Options{StoreTimeout: f.storeTimeout, RetryAfter: time.Second, OutageRetryAfter: time.Second})
+	}, forwarder.Options{StoreTimeout: f.storeTimeout, RetryAfter: time.Second, OutageRetryAfter: time.Second, ResponseBytes: f.responseBytes})
 }
 
 // applyRoutes configures routes of all kinds.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -51,6 +51,8 @@
 	// Daemons returns the estimated number of daemons that share the replicas'
 	// connection limits. If it is nil, each replica's full limit applies to this daemon.
 	Daemons func() int
+	// ResponseBytes limits the memory of the responses in progress; zero for no limit.
+	ResponseBytes int64
 }
 
 // Dependencies are the components that a Forwarder depends on.
@@ -85,6 +87,7 @@
 	tunnels    *tunneler.Tunneler
 	meter      *meter
 	reports    Reports
+	responses  *responseMemory
 	active     atomic.Int64
 	// awaitedOrigins is the number of records that wait.
 	awaitedOrigins atomic.Int64
@@ -97,12 +100,16 @@
 	return &Forwarder{
 		options: o, catalog: d.Catalog, placements: d.Placements, programs: d.Programs, isolator: d.Isolator, versions: d.Versions,
 		logger: d.Logger, codec: d.Codec, conns: d.Connector, tunnels: d.Tunnels, reports: d.Reports, meter: newMeter(d.Scope),
+		responses: newResponseMemory(o.ResponseBytes),
 	}
 }
 
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int { return int(f.active.Load()) }
 
+// ResponseBytes returns the memory of the responses in progress.
+func (f *Forwarder) ResponseBytes() int64 { return f.responses.used() }
+
 // Connections returns the counters of the connections to replicas.
 func (f *Forwarder) Connections() connector.Counts { return f.conns.Counts() }
 
--- a/internal/forwarder/meter.go
+++ b/internal/forwarder/meter.go
@@ -50,3 +50,6 @@
 }
 
 func (m *meter) countAttempt(r result) { m.attempts[r].Inc(1) }
+
+// countWithoutMemory counts an attempt that failed because its response could not be held.
+func (m *meter) countWithoutMemory() { m.scope.Counter("responses-without-memory").Inc(1) }
--- a/internal/forwarder/turn.go
+++ b/internal/forwarder/turn.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -13,6 +14,9 @@
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
+// newline follows each line of an output.
+var newline = []byte("\n")
+
 // turn is the state of a request that has a history or a budget.
 type turn struct {
 	request *Request
@@ -20,7 +24,8 @@
 	// tokens is the number of tokens forwarded to the client.
 	tokens int
 	// input and output are the texts that the turn adds to the history.
-	input, output []byte
+	input  []byte
+	output leasedText
 }
 
 // openTurn loads the history and reserves the budget of a turn. It returns nil for a
@@ -80,20 +85,37 @@
 	return t.chain().Len()
 }
 
-// addEvent adds an event that is forwarded to the client to the turn.
-func (t *turn) addEvent(e event, tokens int) {
+// addEvent adds an event that will be forwarded to the client to the turn. It returns an error
+// if the memory of the response does not suffice for the output.
+func (t *turn) addEvent(e event, tokens int, l *responseLease) error {
 	if t == nil || !e.hasData {
-		return
+		return nil
 	}
 	t.tokens += tokens
-	if t.chain() != nil {
-		t.output = append(append(t.output, e.data...), '\n')
+	if t.chain() == nil {
+		return nil
 	}
+	for line := range bytes.Lines(e.raw) {
+		data, isData := dataOf(bytes.TrimRight(line, "\r\n"))
+		if !isData {
+			continue
+		}
+		if err := t.output.append(l, data); err != nil {
+			return err
+		}
+		if err := t.output.append(l, newline); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+// hasOutput reports whether the output of the turn is kept.
+func (t *turn) hasOutput() bool { return t != nil && t.chain() != nil }
+
 // isTooLarge reports whether the turn's text is too large to be stored.
 func (t *turn) isTooLarge() bool {
-	return t != nil && t.chain() != nil && len(t.input)+len(t.output) > archivist.MaxTurnBytes
+	return t.hasOutput() && len(t.input)+t.output.bytes > archivist.MaxTurnBytes
 }
 
 // persist stores the turn in the history. It is called before the client's stream ends.
@@ -101,8 +123,9 @@
 	if t == nil || t.chain() == nil {
 		return nil
 	}
-	text := make([]byte, 0, len(t.input)+len(t.output))
-	text = append(append(text, t.input...), t.output...)
+	text := make([]byte, 0, len(t.input)+t.output.bytes)
+	text = t.output.appendTo(append(text, t.input...))
+	t.output = leasedText{}
 	return t.grant.Record(ctx, text)
 }
 
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -86,6 +86,10 @@
 	// historiesDivisor is the inverse of the fraction of memory for the large turns in the
 	// histories of requests in progress.
 	historiesDivisor = 8
+	// responsesDivisor is the inverse of the fraction of memory for responses in progress. On a
+	// VM of 96 MB, one response can be an event of 1 MB while another replica uses all that it
+	// may; half of that is the former array of a buffer that grows.
+	responsesDivisor = 8
 )
 
 // Daemon is one process that forwards client requests to replicas.
@@ -190,7 +194,7 @@
 		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator, Versions: d.versions, Connector: d.conns, Tunnels: d.tunnels, Reports: p.Reports,
 		Logger: d.logger, Scope: d.metrics.Scope(), Codec: p.Codec,
 	}, forwarder.Options{
-		StoreTimeout: storeTimeout, RetryAfter: retryAfter, OutageRetryAfter: outageRetryAfter, Daemons: d.estimateDaemons,
+		StoreTimeout: storeTimeout, RetryAfter: retryAfter, OutageRetryAfter: outageRetryAfter, Daemons: d.estimateDaemons, ResponseBytes: o.MemoryBytes / responsesDivisor,
 	})
 	return d
 }
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -13,6 +13,7 @@
 func (d *Daemon) updateGauges() {
 	s := d.metrics.Scope()
 	s.Gauge("requests-active").Update(float64(d.forwarder.Active()))
+	s.Gauge("response-memory-bytes").Update(float64(d.forwarder.ResponseBytes()))
 	s.Gauge("config-version").Update(float64(d.catalog.Current().Version()))
 	s.Gauge("replicas").Update(float64(d.tracker.Len()))
 	s.Gauge("replicas-limited").Update(float64(d.placements.LimitedReplicas()))
