--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -8,8 +8,12 @@
 	"github.com/pkg/errors"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of one event of a stream.
+	maxEventBytes = 1 << 20
+	// eventBufferBytes is the size up to which the buffer for events is kept between events.
+	eventBufferBytes = 8 << 10
+)
 
 // errPartialEvent is returned for a stream that ends in the middle of an event.
 var errPartialEvent = errors.New("stream ends in the middle of an event")
@@ -24,69 +28,72 @@
 type event struct {
 	// raw is the event as received, including the empty line that ends it.
 	raw []byte
-	// data is the value of the event's data lines, joined by newlines.
-	data []byte
 	// hasData is set if the event has a data line; only such events carry tokens.
 	hasData bool
 }
 
+// fieldOf returns the name and the value of a line without its end.
+func fieldOf(line []byte) (name string, value []byte) {
+	before, value, _ := bytes.Cut(bytes.TrimPrefix(line, byteOrderMark), []byte(":"))
+	return string(before), bytes.TrimPrefix(value, []byte(" "))
+}
+
+// dataOf returns the value of a line without its end, and false if it is not a data line.
+func dataOf(line []byte) ([]byte, bool) {
+	name, value := fieldOf(line)
+	return value, name == "data"
+}
+
 // eventReader splits a stream into events.
 type eventReader struct {
 	reader *bufio.Reader
-	raw    []byte
-	data   []byte
+	raw    leasedBuffer
 	order  eventOrder
 }
 
-// newEventReader returns a reader of a stream whose events follow the given order.
-func newEventReader(r io.Reader, o eventOrder) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 4<<10), order: o}
+// newEventReader returns a reader of a stream whose events follow the given order. The lease holds
+// the event that is read.
+func newEventReader(r io.Reader, o eventOrder, l *responseLease) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, 4<<10), order: o, raw: leasedBuffer{lease: l}}
 }
 
 // next returns the next event, which is valid until the following call. It returns
 // io.EOF at the end of a complete stream.
 func (s *eventReader) next() (event, error) {
-	s.raw, s.data = s.raw[:0], s.data[:0]
+	s.raw.clear(eventBufferBytes)
 	hasData := false
 	for {
 		line, err := s.line()
 		if err != nil {
-			if err == io.EOF && len(bytes.TrimSpace(s.raw)) > 0 {
+			if err == io.EOF && len(bytes.TrimSpace(s.raw.bytes)) > 0 {
 				err = errPartialEvent
 			}
 			return event{}, err
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			if len(s.raw) > 2 {
-				return event{raw: s.raw, data: s.data, hasData: hasData}, nil
+			if len(s.raw.bytes) > 2 {
+				return event{raw: s.raw.bytes, hasData: hasData}, nil
 			}
 			continue
 		}
-		name, value, _ := bytes.Cut(bytes.TrimPrefix(line, byteOrderMark), []byte(":"))
+		name, value := fieldOf(line)
 		if !isFieldName(name) {
 			return event{}, errNoField
 		}
-		if string(name) == "id" {
+		if name == "id" {
 			if err := s.order.add(value); err != nil {
 				return event{}, err
 			}
 		}
-		if string(name) != "data" {
-			continue
-		}
-		if hasData {
-			s.data = append(s.data, '\n')
-		}
-		s.data = append(s.data, bytes.TrimPrefix(value, []byte(" "))...)
-		hasData = true
+		hasData = hasData || name == "data"
 	}
 }
 
 // isFieldName reports whether a name consists of letters, digits, hyphens and underscores. It is
 // empty for a comment. Text of errors has spaces, slashes, quotes or brackets before a colon.
-func isFieldName(name []byte) bool {
-	for _, b := range name {
+func isFieldName(name string) bool {
+	for _, b := range []byte(name) {
 		letter := 'a' <= b|0x20 && b|0x20 <= 'z'
 		if !letter && (b < '0' || b > '9') && b != '-' && b != '_' {
 			return false
@@ -97,15 +104,18 @@
 
 // line reads one line, appends it to the raw event and returns it.
 func (s *eventReader) line() ([]byte, error) {
-	start := len(s.raw)
+	start := len(s.raw.bytes)
 	for {
 		chunk, err := s.reader.ReadSlice('\n')
-		s.raw = append(s.raw, chunk...)
-		switch {
-		case len(s.raw) > maxEventBytes:
+		if len(s.raw.bytes)+len(chunk) > maxEventBytes {
 			return nil, errors.Errorf("event is longer than %d bytes", maxEventBytes)
+		}
+		if memoryErr := s.raw.append(chunk); memoryErr != nil {
+			return nil, memoryErr
+		}
+		switch {
 		case err == nil:
-			return s.raw[start:], nil
+			return s.raw.bytes[start:], nil
 		case err != bufio.ErrBufferFull:
 			return nil, err
 		}
--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -100,6 +100,8 @@
 	storeTimeout           time.Duration
 	// tunnels lead to replicas through a peer; nil for none.
 	tunnels *tunneler.Tunneler
+	// responseBytes limits the memory of responses, zero for no limit.
+	responseBytes int64
 }
 
 // behaviour is a replica's handler.
@@ -136,7 +138,7 @@
 		Isolator: isolator.Start(ctx, f.store, lines, isolator.Options{Name: "me", Crashed: connector.Refused}),
 		Versions: versioner.Start(ctx, f.store), Connector: connector.New(), Tunnels: f.tunnels,
 		Reports: testReports{}, Scope: tally.NoopScope, Codec: testCodec{},
-	}, forwarder.Options{StoreTimeout: f.storeTimeout, RetryAfter: time.Second, OutageRetryAfter: time.Second})
+	}, forwarder.Options{StoreTimeout: f.storeTimeout, RetryAfter: time.Second, OutageRetryAfter: time.Second, ResponseBytes: f.responseBytes})
 }
 
 // applyRoutes configures routes of all kinds.
