forwarder: [fix] a stopping daemon answers the requests that replicas still run

Callers saw a connection that closes without a response at the end of the grace time, among them for calls that may not be repeated.

Cause: requests that are taken before acceptTime may last longer than the daemon. At the end of the grace time the process exits with them in progress, and says nothing before.

Change: 0.3 s (answerMargin) before the end of a planned stop the requests whose response has not begun end with 504, target-timeout, "ran: unknown". Another daemon's client may look or repeat where its route allows it. A response that has begun keeps all of the grace time, since there is nothing true to add to it.

Ruled out: refusing the request earlier as not run, since its replica has it.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -112,6 +112,9 @@
 		if fault := f.refuseWithoutOrigin(j); fault != nil {
 			return fault
 		}
+		if fault := f.refuseWhenStopping(j); fault != nil {
+			return fault
+		}
 		return classifier.New(classifier.TargetAway, classifier.RanNo, "%v", cause).After(f.awayRetryAfter(j))
 	}
 	if code == classifier.TargetAway {
@@ -189,6 +192,10 @@
 	if errors.As(err, &e) && !e.Sent {
 		return unsent
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		j.cause = errors.Wrap(errStopping, "no response")
+		return canceled
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		j.cause = errors.Wrap(err, "request canceled by the client")
 		return canceled
@@ -247,6 +254,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
+	j.keepToEnd()
 	j.responseStarted = true
 	w.WriteHeader(r.StatusCode)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -90,13 +90,14 @@
 	awaitedOrigins atomic.Int64
 	// shutdown is nil unless a planned stop has begun.
 	shutdown atomic.Pointer[shutdown]
+	stages   stages
 }
 
 // New returns a forwarder without connections.
 func New(d Dependencies, o Options) *Forwarder {
 	return &Forwarder{
 		options: o, catalog: d.Catalog, placements: d.Placements, programs: d.Programs, isolator: d.Isolator, versions: d.Versions,
-		logger: d.Logger, codec: d.Codec, conns: d.Connector, tunnels: d.Tunnels, reports: d.Reports, meter: newMeter(d.Scope),
+		logger: d.Logger, codec: d.Codec, conns: d.Connector, tunnels: d.Tunnels, reports: d.Reports, meter: newMeter(d.Scope), stages: newStages(),
 	}
 }
 
@@ -147,6 +148,8 @@
 	// via and tunnel name the peer and the tunnel through which the last attempt was sent,
 	// empty for a direct connection.
 	via, tunnel string
+	// keepToEnd lets the response go on until the daemon ends.
+	keepToEnd func() bool
 	// responseStarted is set once a part of the response has been sent to the client.
 	responseStarted bool
 	// openedAfter and firstAfter are the times from the request's arrival until the turn
@@ -176,6 +179,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	ctx, release := f.endBeforeDaemon(ctx, j)
+	defer release()
 	if fault = f.resolveOrigin(ctx, j); fault != nil {
 		f.Refuse(w, q, fault)
 		return
--- a/internal/forwarder/shutdown.go
+++ b/internal/forwarder/shutdown.go
@@ -1,8 +1,11 @@
 package forwarder
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
@@ -14,6 +17,9 @@
 // on a VM that is short of processor time.
 const answerMargin = 300 * time.Millisecond
 
+// errStopping is why a request ends that a replica still runs when the daemon ends.
+var errStopping = errors.New("the daemon ends before its replica has answered")
+
 // shutdown is the schedule of a planned stop.
 type shutdown struct {
 	// acceptUntil is when the balancer and the clients have had time to leave, and endsAt
@@ -27,10 +33,40 @@
 	return s == nil || now.Before(s.acceptUntil) || !deadline.Add(answerMargin).After(s.endsAt)
 }
 
+// answersAt is when requests that have no response are answered.
+func (s *shutdown) answersAt() time.Time { return s.endsAt.Add(-answerMargin) }
+
+// stages are the parts of a planned stop that requests in progress wait for.
+type stages struct {
+	// answers ends when requests without a response are answered.
+	answers    context.Context
+	endAnswers context.CancelFunc
+}
+
+func newStages() (s stages) {
+	s.answers, s.endAnswers = context.WithCancel(context.Background())
+	return s
+}
+
 // Shutdown begins a planned stop: from acceptUntil on, requests that might not be answered
-// before endsAt are refused, so that none is cut off that was taken late.
+// before endsAt are refused, so that none is cut off that was taken late. Those that replicas
+// still run shortly before endsAt, without a response, are answered.
 func (f *Forwarder) Shutdown(acceptUntil, endsAt time.Time) {
-	f.shutdown.Store(&shutdown{acceptUntil: acceptUntil, endsAt: endsAt})
+	s := &shutdown{acceptUntil: acceptUntil, endsAt: endsAt}
+	f.shutdown.Store(s)
+	time.AfterFunc(time.Until(s.answersAt()), f.stages.endAnswers)
+}
+
+// endBeforeDaemon returns a context that ends with errStopping if the request has no response
+// shortly before the end of a planned stop. Its client learns then that the request may have
+// run, while a response that has begun may still be completed.
+func (f *Forwarder) endBeforeDaemon(ctx context.Context, j *job) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	j.keepToEnd = context.AfterFunc(f.stages.answers, func() { cancel(errStopping) })
+	return ctx, func() {
+		j.keepToEnd()
+		cancel(nil)
+	}
 }
 
 // refuseWhenStopping returns a fault for a request that a planned stop would cut off.
