forwarder: [fix] a stopping daemon sends no request late that it may not answer

Callers saw requests that a stopping daemon took early, sent to a replica late in the grace time, and cut off at its end.

Cause: only the arrival of a request was compared with the schedule of the stop. One that waited for a place, for the store or for a confirmation, or that a replica refused as not run, was sent as late as it got its turn; one that still waited at the end was cut off though it had not run.

Evidence: before the change TestAWaitingRequestIsRefusedWhenADaemonStops and TestLateAttemptsOfAStoppingDaemon ("refused, not run") failed with 200 != 503: both were sent to a replica after acceptUntil.

Change: a request that no replica may have run is sent after acceptUntil only if its deadline lies before the end of the stop, as it is for arrivals. A repeatable request that may have run is still repeated, and is answered before the end.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -32,15 +32,21 @@
 // sendWithRetries sends the request to one replica after another until one answers.
 // It returns nil if the client has received a complete response.
 func (f *Forwarder) sendWithRetries(ctx context.Context, w http.ResponseWriter, j *job) *classifier.Fault {
+	startCtx, release := f.endBeforeStart(ctx, j)
+	defer release()
 	for j.attempts < maxAttempts {
+		waitCtx := ctx
+		if j.possibleRuns == 0 {
+			waitCtx = startCtx
+		}
 		if fault := f.refuseUntried(ctx, j); fault != nil {
 			return fault
 		}
-		c, err := f.placements.Choose(ctx, selector.Request{
+		c, err := f.placements.Choose(waitCtx, selector.Request{
 			Service: selector.Service{Name: j.service.Name, CacheTokens: j.service.CacheTokens}, Work: j.work, Tried: j.tried, Deadline: j.deadline, Suspicion: f.suspicion(j), Version: j.originVersion,
 		})
 		var busy *selector.BusyError
-		if errors.As(err, &busy) && f.awaitConfirmation(ctx, j) {
+		if errors.As(err, &busy) && f.awaitConfirmation(waitCtx, j) {
 			continue
 		}
 		if errors.As(err, &busy) && j.possibleRuns == 0 && !busy.AllAway() {
@@ -50,6 +56,10 @@
 			j.busy = busy
 			break
 		}
+		if fault := f.refuseLateStart(j); fault != nil {
+			c.End(selector.Unknown)
+			return fault
+		}
 		j.attempts++
 		j.tried[c.Instance] = true
 		res := f.attempt(ctx, w, j, c)
--- a/internal/forwarder/shutdown.go
+++ b/internal/forwarder/shutdown.go
@@ -38,22 +38,25 @@
 
 // stages are the parts of a planned stop that requests in progress wait for.
 type stages struct {
-	// answers ends when requests without a response are answered.
-	answers    context.Context
-	endAnswers context.CancelFunc
+	// starts ends when requests are sent to replicas no longer that might not be answered
+	// before the daemon ends, and answers when those without a response are answered.
+	starts, answers       context.Context
+	endStarts, endAnswers context.CancelFunc
 }
 
 func newStages() (s stages) {
+	s.starts, s.endStarts = context.WithCancel(context.Background())
 	s.answers, s.endAnswers = context.WithCancel(context.Background())
 	return s
 }
 
 // Shutdown begins a planned stop: from acceptUntil on, requests that might not be answered
-// before endsAt are refused, so that none is cut off that was taken late. Those that replicas
-// still run shortly before endsAt, without a response, are answered.
+// before endsAt are refused and not sent to a replica, so that none is cut off that was taken
+// late. Those that replicas still run shortly before endsAt, without a response, are answered.
 func (f *Forwarder) Shutdown(acceptUntil, endsAt time.Time) {
 	s := &shutdown{acceptUntil: acceptUntil, endsAt: endsAt}
 	f.shutdown.Store(s)
+	time.AfterFunc(time.Until(acceptUntil), f.stages.endStarts)
 	time.AfterFunc(time.Until(s.answersAt()), f.stages.endAnswers)
 }
 
@@ -69,6 +72,30 @@
 	}
 }
 
+// endBeforeStart returns a context for the waits of a request that was not sent yet. It ends
+// when the request may be sent no longer, since another daemon takes it at once.
+func (f *Forwarder) endBeforeStart(ctx context.Context, j *job) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(f.stages.starts, func() {
+		if f.refuseWhenStopping(j) != nil {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// refuseLateStart is refuseWhenStopping for a request that is about to be sent. One that may
+// have run is not refused as not run, and is repeated while there is time.
+func (f *Forwarder) refuseLateStart(j *job) *classifier.Fault {
+	if j.possibleRuns > 0 {
+		return nil
+	}
+	return f.refuseWhenStopping(j)
+}
+
 // refuseWhenStopping returns a fault for a request that a planned stop would cut off.
 func (f *Forwarder) refuseWhenStopping(j *job) *classifier.Fault {
 	s := f.shutdown.Load()
--- a/internal/forwarder/stopping_test.go
+++ b/internal/forwarder/stopping_test.go
@@ -85,6 +85,76 @@
 	}
 }
 
+// TestAWaitingRequestIsRefusedWhenADaemonStops guards against a request that waits for a place
+// until late in the grace time, is sent to its replica then, and is cut off.
+func TestAWaitingRequestIsRefusedWhenADaemonStops(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, limited(serveOK)).applyRoutes()
+	is.Equal(f.send("POST", "/unsafe/x", "a body").status, http.StatusOK)
+	p := f.begin("/unsafe/x") // Its place is free in about a second.
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	r := p.awaitUntil(f.stopAfter(200*time.Millisecond, 3*time.Second))
+	is.NoErr(r.err)
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(r.body, "3003"))
+	is.True(r.header.Get("Retry-After") != "")
+	is.True(p.endedAt.Sub(began) < 600*time.Millisecond) // As soon as it is known.
+	is.Equal(len(f.received()), 1)
+}
+
+// TestAWaitingRequestThatEndsInTimeIsServed guards against a stopping daemon that refuses what
+// it can finish.
+func TestAWaitingRequestThatEndsInTimeIsServed(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, limited(serveOK)).applyRoutes()
+	is.Equal(f.send("POST", "/unsafe/x", "a body").status, http.StatusOK)
+	began := time.Now()
+	p := f.begin("/unsafe/x", "Patience", "8s")
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(p.awaitUntil(f.stopAfter(20*time.Millisecond, 9*time.Second)).status, http.StatusOK)
+	is.True(p.endedAt.Sub(began) > 300*time.Millisecond) // It has waited for its place.
+}
+
+// TestLateAttemptsOfAStoppingDaemon guards against a request that one replica refused late in
+// the grace time, and that goes to the next one then. One that may have run, and may be
+// repeated, is repeated.
+func TestLateAttemptsOfAStoppingDaemon(t *testing.T) {
+	rows := []struct {
+		name, path string
+		end        behaviour
+		status     int
+		received   int
+	}{
+		{"refused, not run", "/unsafe/x", notRun, http.StatusServiceUnavailable, 1},
+		{"broken off, repeatable", "/safe/x", dropConnection, http.StatusOK, 2},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			arrived, release := make(chan time.Time, 1), make(chan struct{})
+			late := func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case arrived <- time.Now():
+					<-release
+					row.end(w, r)
+				default:
+					serveOK(w, r)
+				}
+			}
+			f := newFixture(t, late, late).applyRoutes()
+			p := f.begin(row.path)
+			<-arrived
+			endsAt := f.stopAfter(100*time.Millisecond, 3*time.Second)
+			time.Sleep(200 * time.Millisecond)
+			close(release)
+			arrived <- time.Now() // Any further request is served.
+			is.Equal(p.awaitUntil(endsAt).status, row.status)
+			is.Equal(len(f.received()), row.received)
+		})
+	}
+}
+
 // TestAStreamThatHasBegunHasAllOfTheGraceTime guards against a stream that is cut off in the
 // margin in which requests without a response are answered.
 func TestAStreamThatHasBegunHasAllOfTheGraceTime(t *testing.T) {
