server: [fix] requests on open connections are answered to the end of a planned stop

Callers saw a connection that closes without a response although the daemon had read the request, from the moment in which it closes its idle connections (3.5 s after SIGTERM) on; for a call that may not be repeated they can't tell whether it ran.

Cause: http.Server.Shutdown drops each request that it reads after its begin, also the first one of a connection that it accepted before. And it takes a connection for idle until it has read a whole head, so that it may close one whose request was just read; had Shutdown begun a moment later, that request ran and its response was lost.

Change: the daemon follows the connections of clients itself. In a planned stop it closes the listener and those without a byte of a request; the others are answered, as before served if they end in time or refused as not run, and then closed. What is read while a connection is closed is discarded, so that nothing runs whose response can't be written. Shutdown comes last.

--- a/internal/forwarder/shutdown.go
+++ b/internal/forwarder/shutdown.go
@@ -18,7 +18,7 @@
 const answerMargin = 300 * time.Millisecond
 
 // lastAnswerMargin is the time before the end of the daemon at which requests without a
-// response are answered. Writing the answers takes a few milliseconds.
+// response are answered. Only the answers are to be written then.
 const lastAnswerMargin = 150 * time.Millisecond
 
 // errStopping is why a request ends that a replica still runs when the daemon ends.
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -120,6 +120,7 @@
 	// listening is set once clients can connect.
 	listening    atomic.Bool
 	clientServer *http.Server
+	clientConns  *clientConns
 	readyServer  *http.Server
 	// metricsServer is nil without an address for metrics.
 	metricsServer *http.Server
@@ -162,7 +163,7 @@
 }
 
 func newDaemon(ctx context.Context, o Options, p Platform, l *logger.Logger) *Daemon {
-	d := &Daemon{options: o, platform: p, logger: l, catalog: &cataloger.Keeper{}, metrics: reporter.New(reportPeriod)}
+	d := &Daemon{options: o, platform: p, logger: l, catalog: &cataloger.Keeper{}, metrics: reporter.New(reportPeriod), clientConns: newClientConns()}
 	d.failures = supervisor.Observe(d.logFailure)
 	d.outageLog = newOutageLog(d.logger)
 	d.tracker = tracker.New(tracker.Options{OutageGrace: outageGrace})
@@ -207,6 +208,7 @@
 	d.tomb, _ = tomb.WithContext(runCtx)
 	d.logStart()
 	d.clientServer = d.newServer(d.closeWhenStopping(d.platform.Ingress(d.forwarder, d.catalog)))
+	d.clientServer.ConnState = d.clientConns.observe
 	d.readyServer = d.newServer(d.readyHandler())
 	if d.options.MetricsAddress != "" {
 		d.metricsServer = d.newServer(d.metrics.Handler())
--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -1,6 +1,10 @@
 package server
 
 import (
+	"context"
+	"net"
+	"net/http"
+
 	"pimentorail.example/pimentorail/internal/cataloger"
 	"pimentorail.example/pimentorail/internal/follower"
 	"pimentorail.example/pimentorail/internal/logger"
@@ -35,3 +39,22 @@
 func NewConfigSink(k *cataloger.Keeper, key string, decode func([]byte) (*cataloger.Catalog, error), l *logger.Logger) follower.Sink {
 	return &configSink{keeper: k, key: key, decode: decode, logger: l, outageLog: newOutageLog(l), ignored: logger.NewLimit(ignoredPeriod, maxIgnoredRows)}
 }
+
+// ClientConns are the open connections of clients.
+type ClientConns struct{ conns *clientConns }
+
+// NewClientConns returns the same for a server without connections.
+func NewClientConns(h *http.Server) *ClientConns {
+	c := newClientConns()
+	h.ConnState = c.observe
+	return &ClientConns{c}
+}
+
+// Wrap returns a listener whose connections are followed.
+func (c *ClientConns) Wrap(l net.Listener) net.Listener { return c.conns.wrap(l) }
+
+// Drain lets the server close its connections.
+func (c *ClientConns) Drain(h *http.Server) { c.conns.drain(h) }
+
+// Await waits until no connection has a request.
+func (c *ClientConns) Await(ctx context.Context) error { return c.conns.await(ctx) }
--- a/internal/server/opening.go
+++ b/internal/server/opening.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,7 +37,7 @@
 	if err != nil {
 		return openingError(err)
 	}
-	d.tomb.Go((&acceptLoop{server: d.readyServer, listener: ready}).run)
+	d.tomb.Go((&acceptLoop{server: d.readyServer, listener: ready, stopping: &d.stopping}).run)
 	o.follow(ctx)
 	if d.metricsServer != nil {
 		d.tomb.Go(supervisor.Task("server: metrics", (&metricsOpening{daemon: d}).run))
@@ -45,7 +46,7 @@
 	if err != nil {
 		return openingError(err)
 	}
-	d.tomb.Go((&acceptLoop{server: d.clientServer, listener: clients}).run)
+	d.tomb.Go((&acceptLoop{server: d.clientServer, listener: d.clientConns.wrap(clients), stopping: &d.stopping}).run)
 	d.listening.Store(true)
 	d.logger.Event("server", "listening").Dur("took", time.Since(began)).End()
 	return nil
@@ -82,7 +83,7 @@
 	d := m.daemon
 	l, err := d.acceptor.Open(d.tomb.Context(nil), "metrics", d.options.MetricsAddress)
 	if err == nil {
-		return (&acceptLoop{server: d.metricsServer, listener: l}).run()
+		return (&acceptLoop{server: d.metricsServer, listener: l, stopping: &d.stopping}).run()
 	}
 	if err = openingError(err); err != nil {
 		d.logger.Event("server", "no metrics").Err(err).End()
@@ -94,16 +95,19 @@
 type acceptLoop struct {
 	server   *http.Server
 	listener net.Listener
+	// stopping is set before the daemon itself closes the listener.
+	stopping *atomic.Bool
 }
 
 // run returns an error only if the listener was lost. The daemon is of no use then, and stops.
 func (a *acceptLoop) run() error { return supervisor.Do("server: accept", a.serve) }
 
 func (a *acceptLoop) serve() error {
-	if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve")
+	err := a.server.Serve(a.listener)
+	if errors.Is(err, http.ErrServerClosed) || a.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return errors.Wrap(err, "serve")
 }
 
 // listen opens a listener whose connections close if the peer does not acknowledge sent
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -62,6 +62,10 @@
 	deadline, _ := ctx.Deadline()
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-before))
 	defer cancel()
+	d.clientConns.drain(d.clientServer)
+	if err := d.clientConns.await(ctx); err != nil {
+		return err
+	}
 	return d.clientServer.Shutdown(ctx)
 }
 
--- a/internal/server/stop_test.go
+++ b/internal/server/stop_test.go
@@ -80,3 +80,26 @@
 	is.Equal(<-bodies, "done")
 	is.NoErr(d.stop())
 }
+
+// TestAnOpenConnectionIsServedLateInAStop guards against connections that clients open before a
+// stopping daemon closes its listener, and whose first request was read and got no response.
+func TestAnOpenConnectionIsServedLateInAStop(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t)
+	r := newReplica(t, "done")
+	d.register("a", "s", r)
+	d.put("config//all", "1 s")
+	d.await("http://"+d.front+"/x", 200, "done")
+	d.cancel()
+	d.await("http://"+d.ready+"/ready", 503, "")
+	time.Sleep(time.Second) // The listener is closed after half of the grace time of 3 s.
+	long, short := openConnection(is, d.front), openConnection(is, d.front)
+	defer long.Close()
+	defer short.Close()
+	time.Sleep(800 * time.Millisecond)
+	is.Equal(long.get(is, "/x", "10s").StatusCode, 503)
+	served := short.get(is, "/x", "500ms")
+	is.Equal(served.StatusCode, 200)
+	is.True(served.Close)
+	is.NoErr(d.stop())
+}
