--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -33,15 +33,21 @@
 // sendWithRetries sends the request to one replica after another until one answers.
 // It returns nil if the client has received a complete response.
 func (f *Forwarder) sendWithRetries(ctx context.Context, w http.ResponseWriter, j *job) *classifier.Fault {
+	startCtx, release := f.endBeforeStart(ctx, j)
+	defer release()
 	for j.attempts < maxAttempts {
+		waitCtx := ctx
+		if j.possibleRuns == 0 {
+			waitCtx = startCtx
+		}
 		if fault := f.refuseUntried(ctx, j); fault != nil {
 			return fault
 		}
-		c, err := f.placements.Choose(ctx, selector.Request{
+		c, err := f.placements.Choose(waitCtx, selector.Request{
 			Service: selector.Service{Name: j.service.Name, CacheTokens: j.service.CacheTokens}, Work: j.work, Tried: j.tried, Deadline: j.deadline, Suspicion: f.suspicion(j), Version: j.originVersion,
 		})
 		var busy *selector.BusyError
-		if errors.As(err, &busy) && f.awaitConfirmation(ctx, j) {
+		if errors.As(err, &busy) && f.awaitConfirmation(waitCtx, j) {
 			continue
 		}
 		if errors.As(err, &busy) && j.possibleRuns == 0 && !busy.AllAway() {
@@ -51,7 +57,11 @@
 			j.busy = busy
 			break
 		}
-		if fault := f.reauthenticate(j); fault != nil {
+		fault := f.reauthenticate(j)
+		if fault == nil {
+			fault = f.refuseLateStart(j)
+		}
+		if fault != nil {
 			c.End(selector.Unknown)
 			return fault
 		}
@@ -118,6 +128,9 @@
 		if fault := f.refuseWithoutOrigin(j); fault != nil {
 			return fault
 		}
+		if fault := f.refuseWhenStopping(j); fault != nil {
+			return fault
+		}
 		return classifier.New(classifier.TargetAway, classifier.RanNo, "%v", cause).After(f.awayRetryAfter(j))
 	}
 	if code == classifier.TargetAway {
@@ -201,6 +214,10 @@
 	if errors.As(err, &e) && !e.Sent {
 		return unsent
 	}
+	if errors.Is(context.Cause(ctx), errStopping) {
+		j.cause = errors.Wrap(errStopping, "no response")
+		return canceled
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		j.cause = errors.Wrap(err, "request canceled by the client")
 		return canceled
@@ -281,6 +298,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
+	j.keepToEnd()
 	j.responseStarted = true
 	w.WriteHeader(r.StatusCode)
 }
--- a/internal/server/export_test.go
+++ b/internal/server/export_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -48,3 +50,22 @@
 
 // NewRecovery returns the handler around all handlers of the daemon's servers.
 func NewRecovery(next http.Handler) http.Handler { return &recovery{next: next} }
+
+// ClientConns are the open connections of clients.
+type ClientConns struct{ conns *clientConns }
+
+// NewClientConns returns the same for a server without connections.
+func NewClientConns(h *http.Server) *ClientConns {
+	c := newClientConns()
+	h.ConnState = c.observe
+	return &ClientConns{c}
+}
+
+// Wrap returns a listener whose connections are followed.
+func (c *ClientConns) Wrap(l net.Listener) net.Listener { return c.conns.wrap(l) }
+
+// Drain lets the server close its connections.
+func (c *ClientConns) Drain(h *http.Server) { c.conns.drain(h) }
+
+// Await waits until no connection has a request.
+func (c *ClientConns) Await(ctx context.Context) error { return c.conns.await(ctx) }
