--- a/internal/server/clientconn.go
+++ b/internal/server/clientconn.go
@@ -64,3 +64,12 @@
 	}
 	return w.CloseWrite()
 }
+
+// SetLinger sets what happens to unsent bytes when the connection is closed, as net.TCPConn does.
+func (c *clientConn) SetLinger(seconds int) error {
+	l, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.New("the connection has no linger time")
+	}
+	return l.SetLinger(seconds)
+}
--- a/internal/server/recovery.go
+++ b/internal/server/recovery.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"net"
 	"net/http"
 
 	"pimentorail.example/pimentorail/internal/supervisor"
@@ -36,8 +35,8 @@
 	if err != nil {
 		return // The server closes the connection.
 	}
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
+	if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0)
 	}
 	_ = c.Close()
 }
--- a/internal/server/recovery_test.go
+++ b/internal/server/recovery_test.go
@@ -35,7 +35,9 @@
 // TestABrokenResponseDoesNotLookComplete guards against a response that is broken off and looks
 // complete to its client: over HTTP/1.0 it ends with the connection.
 func TestABrokenResponseDoesNotLookComplete(t *testing.T) {
-	s := httptest.NewServer(server.NewRecovery(http.HandlerFunc(partOfStream)))
+	s := httptest.NewUnstartedServer(server.NewRecovery(http.HandlerFunc(partOfStream)))
+	s.Listener = server.NewClientConns(s.Config).Wrap(s.Listener) // As a daemon does.
+	s.Start()
 	defer s.Close()
 	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
 		for _, header := range []string{"", "Connection: close\r\n", "Connection: keep-alive\r\n"} {
