--- a/internal/forwarder/authentication_test.go
+++ b/internal/forwarder/authentication_test.go
@@ -26,6 +26,7 @@
 	}
 	c, err := cataloger.New(version, []*cataloger.Route{
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: cataloger.Safe, MaxRuns: 2, Shares: share, Timeout: 20 * time.Second},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: cataloger.Streaming, MaxRuns: 1, Shares: share, Timeout: 20 * time.Second},
 		{Name: "open", Host: "h", Prefix: "/open/", Kind: cataloger.Safe, MaxRuns: 2, Shares: share, Timeout: 20 * time.Second, Public: true},
 	}, []*cataloger.Service{{Name: "s"}}, cataloger.Limits{}).WithAccounts([]*cataloger.Account{cataloger.NewAccount(name, digests...)})
 	if err != nil {
@@ -90,6 +91,26 @@
 	}
 }
 
+// TestAnOpenStreamOutlivesItsKey guards against a stream that is cut off by the version that
+// withdraws its key.
+func TestAnOpenStreamOutlivesItsKey(t *testing.T) {
+	is := is.New(t)
+	var f *fixture
+	f = newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "id: 0\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		f.applyAccounts(t, 2, "north")
+		_, _ = io.WriteString(w, "id: 1\ndata: b\n\n")
+	})
+	f.applyAccounts(t, 1, "north", "k")
+	status, body := f.sendWithKey("/stream/x", "k")
+	is.Equal(status, 200)
+	is.Equal(body, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n")
+	status, _ = f.sendWithKey("/stream/x", "k")
+	is.Equal(status, 401)
+}
+
 // applyRoutesAs applies a version without accounts.
 func (f *fixture) applyRoutesAs(version uint64) {
 	share := []cataloger.Share{{Service: "s", Weight: 1}}
