forwarder: [test] no client names a scoped id

Guards against a header whose value begins with spaces or a continued line, by which a client would name the id under which another account's turn is kept.

--- a/internal/forwarder/account_test.go
+++ b/internal/forwarder/account_test.go
@@ -1,8 +1,10 @@
 package forwarder_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/scoper"
 	"pimentorail.example/pimentorail/internal/storer"
 )
 
@@ -100,6 +103,34 @@
 	is.Equal(f.sendFor("", "t4", "/turn/", "more", "Parent", "t2").status, 404)
 }
 
+// TestNoClientNamesAScopedID guards against a client that reads an account's history by the id under
+// which it is kept, at a daemon whose configuration names no accounts or another one.
+func TestNoClientNamesAScopedID(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, streamEvents(true)).applyRoutes().applyAccounts("north", "south")
+	is.Equal(f.sendFor("north", "t1", "/turn/", "north's;").status, 200)
+	scoped := scoper.Of("north").ID("t1")
+	is.Equal(len(f.keys("turns/")), 1)
+	is.True(strings.HasSuffix(f.keys("turns/")[0], "/"+scoped))
+	for _, applied := range []bool{true, false} {
+		if !applied {
+			*f.catalog = cataloger.Keeper{}
+			f.applyRoutes()
+		}
+		for _, line := range []string{"Parent:" + scoped, "Parent: " + scoped, "Parent:\t " + scoped, "Parent:\r\n " + scoped, "Parent: \r\n\t" + scoped, "Parent:  \"" + scoped + "\""} {
+			conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+			is.NoErr(err)
+			_, err = fmt.Fprintf(conn, "POST /turn/ HTTP/1.1\r\nHost: h\r\nId: t2\r\nAuthorization: Bearer south\r\n%s\r\nContent-Length: 2\r\n\r\nin", line)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.True(resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusBadRequest)
+			is.NoErr(conn.Close())
+		}
+	}
+	is.Equal(len(f.received()), 1)
+}
+
 // TestBudgetsOfAccountsAreSeparate guards against a program whose budget another account's program
 // with the same id has spent.
 func TestBudgetsOfAccountsAreSeparate(t *testing.T) {
