connector: [fix] the fields of a response's head count against the memory of responses

Change: fields beyond 64 count 256 bytes each. The replica of the test no longer copies what it sends for each request, which counted as held.

--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -14,6 +15,9 @@
 // the head of a response.
 var errHeadTooLong = errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
 
+// headEnd ends the last line of a head and the empty line after it.
+var headEnd = []byte("\r\n\r\n")
+
 // conn is one connection to a replica.
 type conn struct {
 	net.Conn
@@ -26,7 +30,9 @@
 	// bytes that may still be read for it. A replica in trouble may send bytes without end.
 	inHead   bool
 	headLeft int
-	// holdHead reserves memory for a head beyond readBufferBytes; nil for no limit.
+	// headLines is the number of lines of that head.
+	headLines int
+	// holdHead reserves memory for a head that is longer than usual; nil for no limit.
 	holdHead func(bytes int) error
 	// openedAt is a time at which the connection was open already.
 	openedAt time.Time
@@ -43,19 +49,26 @@
 
 // beginHead limits the bytes that are read until endHead is called.
 func (c *conn) beginHead(hold func(bytes int) error) {
-	c.inHead, c.headLeft, c.holdHead = true, maxHeadBytes, hold
+	c.inHead, c.headLeft, c.headLines, c.holdHead = true, maxHeadBytes, 0, hold
 }
 
 func (c *conn) endHead() { c.inHead, c.holdHead = false, nil }
 
-// countHead counts n bytes that were read of a head.
-func (c *conn) countHead(n int) error {
-	c.headLeft -= n
-	beyond := min(n, maxHeadBytes-c.headLeft-readBufferBytes)
-	if beyond <= 0 || c.holdHead == nil {
+// countHead counts what was read while a head is read.
+func (c *conn) countHead(p []byte) error {
+	c.headLeft -= len(p)
+	head, _, _ := bytes.Cut(p, headEnd) // The body may follow.
+	lines := bytes.Count(head, headEnd[1:2])
+	c.headLines += lines
+	if c.holdHead == nil {
+		return nil
+	}
+	beyond := max(0, min(len(head), maxHeadBytes-c.headLeft-readBufferBytes))
+	fields := max(0, min(lines, c.headLines-usualFields))
+	if beyond+fields == 0 {
 		return nil
 	}
-	return c.holdHead(beyond * headCopies)
+	return c.holdHead(beyond*headCopies + fields*fieldBytes)
 }
 
 // Read implements io.Reader.
@@ -71,7 +84,7 @@
 		c.heardAt.Store(time.Now().UnixNano())
 	}
 	if c.inHead {
-		if holdErr := c.countHead(n); holdErr != nil {
+		if holdErr := c.countHead(p[:n]); holdErr != nil {
 			return 0, holdErr
 		}
 	}
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -19,6 +19,10 @@
 	// headCopies is the memory of a head as a multiple of its bytes: its fields, and the map of
 	// them that is written to the client.
 	headCopies = 4
+	// usualFields is the number of fields of a head that are not counted, and fieldBytes the
+	// memory that each further one takes in both maps in addition to its bytes.
+	usualFields = 64
+	fieldBytes  = 256
 	// dialTimeout allows for one lost SYN packet, which is retransmitted after a second.
 	dialTimeout = 1500 * time.Millisecond
 	// userTimeout is the time after which a connection with unacknowledged bytes is closed. A
--- a/internal/forwarder/responsememory_test.go
+++ b/internal/forwarder/responsememory_test.go
@@ -29,6 +29,8 @@
 // sendRaw sends bytes that are not passed through an HTTP server, and the second part of them
 // until the caller closes. ID stands for the id of the request.
 func sendRaw(start, repeat string) behaviour {
+	before, rest, _ := strings.Cut(start, "ID")
+	after := []byte(rest) // No copies for each request, which count as held.
 	block := []byte(strings.Repeat(repeat, 1+1000/(len(repeat)+1)))
 	return func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "/ordinary") {
@@ -40,10 +42,9 @@
 			return
 		}
 		defer c.Close()
-		before, after, _ := strings.Cut(start, "ID")
-		_, err = c.Write([]byte(before + r.Header.Get("Id")))
+		_, err = io.WriteString(c, before+r.Header.Get("Id"))
 		if err == nil {
-			_, err = io.WriteString(c, after)
+			_, err = c.Write(after)
 		}
 		if err == nil && repeat == "" {
 			_, _ = io.Copy(io.Discard, c)
@@ -75,6 +76,15 @@
 	<-ctx.Done()
 }
 
+// manyFields returns fields without values, which take far more memory than bytes.
+func manyFields() string {
+	var b strings.Builder
+	for n := range 8000 {
+		fmt.Fprintf(&b, "%x:\r\n", n)
+	}
+	return b.String()
+}
+
 func heapBytes() int64 {
 	var m runtime.MemStats
 	runtime.GC()
@@ -100,6 +110,8 @@
 		{"body that stalls", "/unsafe/x", head + "Content-Length: 1000000000\r\n\r\n" + long[:250_000], ""},
 		{"head", "/unsafe/x", head + "X-More: ", filler},
 		{"head that stalls", "/unsafe/x", head + "X-More: " + long[:60_000], ""},
+		{"many fields of a head", "/unsafe/x", head + manyFields() + "Content-Length: 1000000\r\n\r\nmore", ""},
+		{"many fields of a short head", "/unsafe/x", head + manyFields()[:3500] + ":\r\nContent-Length: 1000000\r\n\r\nmore", ""},
 		{"header lines", "/unsafe/x", head, "X-More: and more\r\n"},
 		{"chunk extension", "/stream/x", head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n5;more=", filler},
 		{"trailer", "/unsafe/x", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", "X-More: and more\r\n"},
