forwarder,server: [fix] each response of a planned stop says that its connection closes

Callers saw a connection that closes without a response: they sent their next request on one that a stopping daemon had just closed.

Cause: a response said "Connection: close" only if its request began after the signal.

Evidence: TestAResponseInAStopClosesItsConnection failed on response.Close.

Change: the forwarder adds the field when it writes a head, in place of the handler that added it when the request arrived.

A stream that began before the signal has sent its head and can't say it.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -264,6 +264,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
 	}
+	f.closeWhenStopping(h)
 	j.keepToEnd()
 	j.responseStarted = true
 	w.WriteHeader(r.StatusCode)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -306,6 +306,7 @@
 	if after := fault.RetryAfter(); after > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
+	f.closeWhenStopping(h)
 	w.WriteHeader(fault.Code.Status())
 	// An error here means that the client has disconnected.
 	_ = json.NewEncoder(w).Encode(fault)
--- a/internal/forwarder/shutdown.go
+++ b/internal/forwarder/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -100,6 +101,14 @@
 	return f.refuseWhenStopping(j)
 }
 
+// closeWhenStopping tells the client in a response of a planned stop that its connection is
+// closed afterwards. The request may have come before the stop.
+func (f *Forwarder) closeWhenStopping(h http.Header) {
+	if f.shutdown.Load() != nil {
+		h.Set("Connection", "close")
+	}
+}
+
 // refuseWhenStopping returns a fault for a request that a planned stop would cut off.
 func (f *Forwarder) refuseWhenStopping(j *job) *classifier.Fault {
 	s := f.shutdown.Load()
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -207,7 +207,7 @@
 func (d *Daemon) start(runCtx context.Context) {
 	d.tomb, _ = tomb.WithContext(runCtx)
 	d.logStart()
-	d.clientServer = d.newServer(d.closeWhenStopping(d.platform.Ingress(d.forwarder, d.catalog)))
+	d.clientServer = d.newServer(d.platform.Ingress(d.forwarder, d.catalog))
 	d.clientServer.ConnState = d.clientConns.observe
 	d.readyServer = d.newServer(d.readyHandler())
 	if d.options.MetricsAddress != "" {
@@ -235,16 +235,6 @@
 // the same number.
 func (d *Daemon) estimateDaemons() int { return d.relayer.MemberCount() * max(1, d.options.Zones) }
 
-// closeWhenStopping asks clients to close their connections during a planned stop.
-func (d *Daemon) closeWhenStopping(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		h.ServeHTTP(w, r)
-	})
-}
-
 func (d *Daemon) readyHandler() http.Handler {
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Get(d.options.ReadyPath), func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/server/stop_test.go
+++ b/internal/server/stop_test.go
@@ -103,3 +103,27 @@
 	is.True(served.Close)
 	is.NoErr(d.stop())
 }
+
+// TestAResponseInAStopClosesItsConnection guards against clients that send their next request on
+// a connection which the stopping daemon has closed: the request that ran there came before the
+// signal, so that its response did not say so.
+func TestAResponseInAStopClosesItsConnection(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t)
+	r := newReplica(t, "done")
+	d.register("a", "s", r)
+	d.put("config//all", "1 s")
+	d.await("http://"+d.front+"/x", 200, "done")
+	c := openConnection(is, d.front)
+	defer c.Close()
+	_, err := fmt.Fprint(c, "GET /slow/ HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n")
+	is.NoErr(err)
+	<-r.arrived
+	d.cancel()
+	d.await("http://"+d.ready+"/ready", 503, "")
+	close(r.release)
+	response, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 200)
+	is.True(response.Close)
+}
