forwarder: [test] rows of foreign and informational responses send what they name

Since the row's replica was rewritten it sent the id of the request before a response that names none, so these two rows tested bytes that are no response.

--- a/internal/forwarder/responsememory_test.go
+++ b/internal/forwarder/responsememory_test.go
@@ -29,7 +29,7 @@
 // sendRaw sends bytes that are not passed through an HTTP server, and the second part of them
 // until the caller closes. ID stands for the id of the request.
 func sendRaw(start, repeat string) behaviour {
-	before, rest, _ := strings.Cut(start, "ID")
+	before, rest, named := strings.Cut(start, "ID")
 	after := []byte(rest) // No copies for each request, which count as held.
 	block := []byte(strings.Repeat(repeat, 1+1000/(len(repeat)+1)))
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -42,7 +42,9 @@
 			return
 		}
 		defer c.Close()
-		_, err = io.WriteString(c, before+r.Header.Get("Id"))
+		if named {
+			_, err = io.WriteString(c, before+r.Header.Get("Id"))
+		}
 		if err == nil {
 			_, err = c.Write(after)
 		}
