forwarder: [fix] a stream is not resumed at a service that cannot be called

A client that resumed a stream got its events from a service whose replicas require TLS or another protocol since a later version of the configuration: the daemon sent the request, with the client's data, in plain text.

Cause: newJob refuses a service that is not supported, but restrictToOrigin then replaces the service by the one at which the stream began, without that check.

Evidence: TestAStreamIsNotResumedAtAServiceThatCannotBeCalled failed with "200 != 503". Ruled out: other places that choose a service; these two are the only ones that set it.

Change: both use refuseUnsupported. The test passes, and so do those of resumptions.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -260,8 +260,8 @@
 	if s == nil {
 		return nil, classifier.New(classifier.TargetAway, classifier.RanNo, "configuration version %d has no service for route %q", c.Version(), r.Name).After(f.retryAfter())
 	}
-	if s.Unsupported != "" {
-		return nil, classifier.New(classifier.TargetAway, classifier.RanNo, "service %q requires %s, which is not supported", s.Name, s.Unsupported).After(f.retryAfter())
+	if fault := f.refuseUnsupported(s); fault != nil {
+		return nil, fault
 	}
 	j := &job{request: q, route: r, service: s, version: c.Version(), tried: map[string]bool{}}
 	if c.HasAccounts() {
@@ -283,6 +283,14 @@
 	return j, f.refuseCondemned(j)
 }
 
+// refuseUnsupported returns a fault for a service whose replicas can't be called.
+func (f *Forwarder) refuseUnsupported(s *cataloger.Service) *classifier.Fault {
+	if s.Unsupported == "" {
+		return nil
+	}
+	return classifier.New(classifier.TargetAway, classifier.RanNo, "service %q requires %s, which is not supported", s.Name, s.Unsupported).After(f.retryAfter())
+}
+
 // describeWork sets the request's estimated work, used to choose a replica.
 func (f *Forwarder) describeWork(j *job) {
 	q := j.request
--- a/internal/forwarder/resumption.go
+++ b/internal/forwarder/resumption.go
@@ -55,6 +55,9 @@
 	if s == nil || !j.route.LeadsTo(o.Service) {
 		return classifier.New(classifier.CannotResume, classifier.RanNo, "the stream of request %q began at service %q, to which route %q does not lead now", j.request.Resumes, o.Service, j.route.Name)
 	}
+	if fault := f.refuseUnsupported(s); fault != nil {
+		return fault
+	}
 	j.service, j.originVersion, j.recordVersion = s, o.Version, o.StoreVersion
 	return f.awaitOrigin(ctx, j)
 }
