forwarder: [fix] a request that came before the accounts is not sent without one

A request that was read under a configuration without accounts, and waited for a replica or was refused by one, was sent after a version that names accounts: without a key or with an unknown one, without the name of an account, and with the client's key, for as long as its deadline allows.

Cause: the judgment before an attempt returned at once where the job has no account, which is so for a public route and also for a configuration without accounts.

Evidence: TestARequestThatCameBeforeTheAccounts failed in its three rows with "200 != 503" and "200 != 502", two requests at the replicas each.

Change: such a request is refused as not run, or as broken if it may have run. It is not judged by the new accounts, since its route is that of the former version, whose routes are not marked as public. All tests of accounts and keys pass.

--- a/internal/forwarder/authentication.go
+++ b/internal/forwarder/authentication.go
@@ -30,21 +30,30 @@
 
 // reauthenticate returns a fault if the key with which a request was admitted does not hold any
 // more before an attempt. A request may wait for a replica for longer than a version of the
-// configuration takes to be in force.
+// configuration takes to be in force. One that was admitted before the configuration named accounts
+// is not sent, since its replica would get the client's key and no name of an account.
 func (f *Forwarder) reauthenticate(j *job) *classifier.Fault {
-	if j.account == nil {
+	if j.hasAccounts && j.account == nil {
 		return nil
 	}
 	certainty := f.catalog.Certainty(time.Now(), f.options.ConfigAge)
 	c := f.catalog.Current()
-	account, fault := f.authenticate(c, j.route, j.request.Credential, certainty)
-	switch {
-	case fault == nil && (!c.HasAccounts() || account.Name() == j.account.Name()):
+	if !c.HasAccounts() {
 		return nil
+	}
+	var fault *classifier.Fault
+	if j.hasAccounts {
+		var account *cataloger.Account
+		account, fault = f.authenticate(c, j.route, j.request.Credential, certainty)
+		if fault == nil && account.Name() == j.account.Name() {
+			return nil
+		}
+	}
+	switch {
 	case j.possibleRuns > 0:
 		return f.fault(j, classifier.TargetBroken)
 	case fault == nil:
-		return classifier.New(classifier.ConfigUnsure, classifier.RanNo, "the key of the request is not that of the account since configuration version %d", c.Version()).After(f.retryAfter())
+		return classifier.New(classifier.ConfigUnsure, classifier.RanNo, "the request was admitted for another account, or for none, than configuration version %d has for its key", c.Version()).After(f.retryAfter())
 	}
 	return fault
 }
--- a/internal/forwarder/authentication_test.go
+++ b/internal/forwarder/authentication_test.go
@@ -144,3 +144,40 @@
 	send("/safe/x", "k", 200)
 	send("/safe/x", "unknown", 401)
 }
+
+// TestARequestThatCameBeforeTheAccounts guards against a request that a replica runs without an
+// account, and with the client's key, after the configuration names accounts, because it was
+// refused by another replica or waited for one before.
+func TestARequestThatCameBeforeTheAccounts(t *testing.T) {
+	for _, row := range []struct {
+		name, key string
+		first     behaviour
+		// status is that of the request, and retried that of one that the client sends afterwards.
+		status, retried int
+	}{
+		{"not run, unknown key", "other", notRun, 503, 401},
+		{"not run, known key", "k", notRun, 503, 200},
+		{"may have run, known key", "k", dropConnection, 502, 200},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var f *fixture
+			var sent atomic.Bool
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				if sent.Swap(true) {
+					serveOK(w, r)
+					return
+				}
+				f.applyAccountsVersion(t, 2, "north", "k")
+				row.first(w, r)
+			}
+			f = newFixture(t, handler, handler)
+			f.applyRoutesAs(1)
+			status, _ := f.sendWithKey("/safe/x", row.key)
+			is.Equal(status, row.status)
+			is.Equal(len(f.received()), 1)
+			status, _ = f.sendWithKey("/safe/x", row.key)
+			is.Equal(status, row.retried)
+		})
+	}
+}
