server: [fix] a first request that arrives slowly is answered in a planned stop

A connection whose first request was partly read was closed without a response by a planned stop, if it was opened more than five seconds before. docs/PLATFORM.md says that a connection of which a byte was read is answered.

Cause: http.Server closes a new connection whose first head is not complete after five seconds like an idle one, and clientConn kept only those open that it knew as idle.

Evidence: TestAFirstRequestThatArrivesSlowly failed with "io: read/write on closed pipe".

Change: a new connection counts as one of which the server believes that nothing was read. The test passes, and the tests of the planned stop and of requests that cross the close three times with -race.

--- a/internal/server/clientconn.go
+++ b/internal/server/clientconn.go
@@ -15,7 +15,8 @@
 	// used is set once a byte was read, and busy from the first byte of a request until its
 	// response is written.
 	used, busy bool
-	// idle is set while the server believes that no byte of a request was read.
+	// idle is set while the server believes that no byte of a request was read, as it does of a new
+	// connection until the head of the first request is complete.
 	idle, closed bool
 }
 
--- a/internal/server/clientconns.go
+++ b/internal/server/clientconns.go
@@ -49,8 +49,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.idle = state == http.StateIdle
-	if c.idle {
+	c.idle = state == http.StateIdle || state == http.StateNew
+	if state == http.StateIdle {
 		c.busy = false
 	}
 }
