cataloger,server,platform: [fix] an unreadable version of the configuration confirms nothing

Cause, found by the review: a row that can't be decoded was followed by a confirmation of the version before, so that a key which the unreadable version adds would have got a final 401 from each daemon. Change: while the newest version is unreadable, known keys are served and others get 503; it is read as often as before.

--- a/internal/cataloger/certainty.go
+++ b/internal/cataloger/certainty.go
@@ -8,7 +8,7 @@
 	// run, or has just resumed. It is known within moments.
 	Stalled Certainty = iota
 	// Unreachable means that the configuration can't be read, neither from the store nor
-	// through a peer.
+	// through a peer, or that its newest version can't be decoded.
 	Unreachable
 	// Confirmed means that the catalog was the newest a short time ago.
 	Confirmed
--- a/internal/cataloger/confirmation_test.go
+++ b/internal/cataloger/confirmation_test.go
@@ -109,3 +109,20 @@
 		}
 	})
 }
+
+// TestAnUnreadableVersionConfirmsNothing guards against a final 401 for a key that the newest version
+// added, because a daemon can't decode that version and takes the one before for the newest.
+func TestAnUnreadableVersionConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	r := &reads{now: time.Now()}
+	r.read(time.Millisecond, true)
+	is.Equal(r.certainty(), cataloger.Confirmed)
+	r.keeper.SetUnreadable(true)
+	for range 3 {
+		r.read(1400*time.Millisecond, true)
+		is.Equal(r.certainty(), cataloger.Unreachable)
+		is.True(r.keeper.Fresh(r.now, maxAge)) // It is read as often as before.
+	}
+	r.keeper.SetUnreadable(false)
+	is.Equal(r.certainty(), cataloger.Confirmed)
+}
--- a/internal/cataloger/keeper.go
+++ b/internal/cataloger/keeper.go
@@ -12,6 +12,8 @@
 
 	mu           sync.Mutex
 	confirmation confirmation
+	// unreadable is set while the newest version can't be decoded.
+	unreadable bool
 }
 
 // Current returns the newest catalog, or nil if none has been applied.
@@ -38,17 +40,36 @@
 	k.confirmation.try(began, ended)
 }
 
-// Confirm records that no version newer than those applied existed at a time.
+// Confirm records that no version newer than those read existed at a time.
 func (k *Keeper) Confirm(asOf time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.confirmation.confirm(asOf)
 }
 
+// SetUnreadable records whether the newest version can't be decoded, so that it is not known what
+// it adds and withdraws.
+func (k *Keeper) SetUnreadable(unreadable bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unreadable = unreadable
+}
+
+// Fresh reports whether the configuration was read within maxAge, readable or not.
+func (k *Keeper) Fresh(now time.Time, maxAge time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.confirmation.certainty(now, maxAge) == Confirmed
+}
+
 // Certainty returns whether the catalog was confirmed within maxAge. What it returns holds for
 // the catalogs that Current returns afterwards.
 func (k *Keeper) Certainty(now time.Time, maxAge time.Duration) Certainty {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.confirmation.certainty(now, maxAge)
+	certainty := k.confirmation.certainty(now, maxAge)
+	if certainty == Confirmed && k.unreadable {
+		return Unreachable
+	}
+	return certainty
 }
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -68,6 +68,7 @@
 		next, err = c.decode(r.Value)
 		return err
 	})
+	c.keeper.SetUnreadable(err != nil)
 	if err != nil {
 		if skipped, ok := c.ignored.Allow(r.Key, time.Now()); ok {
 			c.logger.Event("server", "configuration unreadable").Uint("row-version", r.Version).Int("lines-skipped", skipped).Err(err).End()
--- a/internal/server/configfeed.go
+++ b/internal/server/configfeed.go
@@ -39,7 +39,7 @@
 // wait, the reply is not delayed and has less time, so that a version takes less than maxAge.
 func (f *configFeed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) ([]storer.Change, uint64, error) {
 	began := time.Now()
-	if f.failures > 0 || f.keeper.Certainty(began.Add(wait+configBackoff), f.maxAge) != cataloger.Confirmed {
+	if f.failures > 0 || !f.keeper.Fresh(began.Add(wait+configBackoff), f.maxAge) {
 		timeout := followTimeout
 		if f.failures <= 1 {
 			timeout = configRetryTimeout
