cataloger,server,platform: [new] a line that says which account limits a version of the configuration changes

Change: rates and bursts are decoded into the catalog, and server: account limits names the changes, the largest first. A negative rate or burst makes the accounts unreadable, since zero would lift the limit. Nothing applies them yet: the settings line still names quota as unsupported. Result: the tests of the three packages pass.

--- a/internal/cataloger/account.go
+++ b/internal/cataloger/account.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 
 	"github.com/pkg/errors"
+
+	"pimentorail.example/pimentorail/internal/ratelimiter"
 )
 
 // KeyDigest is the SHA-256 digest of an account's key, which is not kept itself.
@@ -19,6 +21,7 @@
 	name     string
 	priority int
 	ranked   bool
+	limit    ratelimiter.Limit
 	keys     []KeyDigest
 }
 
@@ -32,6 +35,21 @@
 	return &next
 }
 
+// WithLimit returns the account with a limit of its requests over all daemons.
+func (a *Account) WithLimit(l ratelimiter.Limit) *Account {
+	next := *a
+	next.limit = l
+	return &next
+}
+
+// Limit returns the limit of the account's requests over all daemons, none for a nil account.
+func (a *Account) Limit() ratelimiter.Limit {
+	if a == nil {
+		return ratelimiter.Limit{}
+	}
+	return a.limit
+}
+
 // Name returns the account's name, which is empty for a nil account.
 func (a *Account) Name() string {
 	if a == nil {
@@ -58,28 +76,33 @@
 	account *Account
 }
 
-// newAccounts returns an error if two accounts have one name or one key, or one has no name.
-func newAccounts(list []*Account) (accounts, error) {
+// newAccounts returns the accounts by key, and the limits that they have by name. It returns an error if
+// two accounts have one name or one key, or one has no name.
+func newAccounts(list []*Account) (accounts, map[string]ratelimiter.Limit, error) {
 	names := make(map[string]bool, len(list))
+	limits := map[string]ratelimiter.Limit{}
 	holders := accounts{}
 	for _, a := range list {
 		switch {
 		case a.name == "":
-			return nil, errors.New("an account has no name")
+			return nil, nil, errors.New("an account has no name")
 		case names[a.name]:
-			return nil, errors.Errorf("two accounts have the name %.100q", a.name)
+			return nil, nil, errors.Errorf("two accounts have the name %.100q", a.name)
 		}
 		names[a.name] = true
+		if a.limit.IsSet() {
+			limits[a.name] = a.limit
+		}
 		for _, k := range a.keys {
 			switch other := holders.find(k); {
 			case other == nil:
 				holders[k.bucket()] = append(holders[k.bucket()], keyHolder{digest: k, account: a})
 			case other != a:
-				return nil, errors.Errorf("accounts %.100q and %.100q have a key in common", other.name, a.name)
+				return nil, nil, errors.Errorf("accounts %.100q and %.100q have a key in common", other.name, a.name)
 			}
 		}
 	}
-	return holders, nil
+	return holders, limits, nil
 }
 
 func (k KeyDigest) bucket() uint64 { return binary.BigEndian.Uint64(k[:]) }
--- a/internal/cataloger/catalog.go
+++ b/internal/cataloger/catalog.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"strings"
+
+	"pimentorail.example/pimentorail/internal/ratelimiter"
 )
 
 // Catalog is one version of the routes, services and limits. It is immutable.
@@ -15,7 +17,9 @@
 	limits   Limits
 	// accounts is nil if the configuration names none, as opposed to an empty list.
 	accounts accounts
-	unknown  []string
+	// rateLimits are the limits of the accounts that have one, by name.
+	rateLimits map[string]ratelimiter.Limit
+	unknown    []string
 }
 
 // New returns a catalog with the given version and contents.
@@ -44,12 +48,12 @@
 // WithAccounts returns the catalog with accounts, of which there may be none. It returns an error
 // if two accounts have one name or one key, or one has no name.
 func (c *Catalog) WithAccounts(list []*Account) (*Catalog, error) {
-	holders, err := newAccounts(list)
+	holders, limits, err := newAccounts(list)
 	if err != nil {
 		return nil, err
 	}
 	next := *c
-	next.accounts = holders
+	next.accounts, next.rateLimits = holders, limits
 	return &next, nil
 }
 
@@ -57,6 +61,14 @@
 // key of one on each route that is not public.
 func (c *Catalog) HasAccounts() bool { return c.accounts != nil }
 
+// RateLimits returns the limits of the accounts that have one, by name. The caller must not modify them.
+func (c *Catalog) RateLimits() map[string]ratelimiter.Limit {
+	if c == nil {
+		return nil
+	}
+	return c.rateLimits
+}
+
 // Account returns the account that holds the key with a digest, or nil.
 func (c *Catalog) Account(k KeyDigest) *Account { return c.accounts.find(k) }
 
--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -75,8 +75,12 @@
 		}
 		return
 	}
-	old := c.keeper.Current().Version()
+	before := c.keeper.Current()
+	old := before.Version()
 	applied := c.keeper.Apply(next)
 	c.logger.Event("server", "configuration").Uint("version", next.Version()).Uint("old", old).
 		Uint("row-version", r.Version).Bool("applied", applied).Str("unknown-fields", strings.Join(next.UnknownFields(), " ")).End()
+	if applied {
+		c.logLimits(before, next)
+	}
 }
