--- a/internal/rationer/fixture_test.go
+++ b/internal/rationer/fixture_test.go
@@ -11,6 +11,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,8 @@
 	lossy     bool
 	calls     sync.WaitGroup
 	tolerance ratelimiter.Tolerance
+	// requests and messages count the requests of accounts and the calls between daemons.
+	requests, messages atomic.Int64
 }
 
 // node is a VM with at most one daemon process.
@@ -171,6 +174,7 @@
 	}
 	c := &call{network: w, from: p, to: there, method: method, args: encode(args), reply: make(chan []byte, 1), replyType: reflect.TypeOf(reply).Elem(), argsType: reflect.TypeOf(args)}
 	w.calls.Add(1)
+	w.messages.Add(1)
 	go c.run()
 	select {
 	case data := <-c.reply:
@@ -315,6 +319,7 @@
 
 func (q *request) run() {
 	defer q.node.network.calls.Done()
+	q.node.network.requests.Add(1)
 	sent := time.Now()
 	p := q.node.running()
 	if p == nil || !p.awake() {
