--- a/internal/rationer/fixture_test.go
+++ b/internal/rationer/fixture_test.go
@@ -94,7 +94,7 @@
 	p.lifetime, p.end = context.WithCancel(n.network.lifetime)
 	p.rationer = rationer.New(rationer.Dependencies{Peers: p, Table: p, Feed: p, Logger: logger.Start(p.lifetime, io.Discard)}, rationer.Options{
 		VM: fmt.Sprintf("vm-%d", n.index), Process: fmt.Sprintf("vm-%d/%d", n.index, n.starts), Address: n.address(),
-		Tolerance: n.network.tolerance, Limited: func() bool { return true },
+		Tolerance: n.network.tolerance, Needed: func() bool { return true },
 	})
 	p.service = reflect.ValueOf(p.rationer.Service())
 	n.process = p
--- a/internal/rationer/membership.go
+++ b/internal/rationer/membership.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// membersTable holds a row for each VM whose daemon limits accounts. A row stays while its daemon is down, so that the
+	// membersTable holds a row for each VM whose daemon applies limits. A row stays while its daemon is down, so that the
 	// ring does not change with each restart.
 	membersTable   = "limit-members/peers"
 	membersPeriod  = 5 * time.Second
@@ -27,7 +27,7 @@
 	Address string `json:"address"`
 }
 
-// membership follows the rows of the members, from the first configuration that limits an account on.
+// membership follows the rows of the members, from the first configuration that names accounts on.
 type membership struct {
 	rationer *Rationer
 	rows     map[string]member
@@ -43,7 +43,7 @@
 
 func (m *membership) run() error {
 	x := m.rationer
-	for !x.options.Limited() {
+	for !x.options.Needed() {
 		select {
 		case <-time.After(tick):
 		case <-x.tomb.Dying():
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -36,8 +36,8 @@
 	// VM is the name of this VM, Process that of this process, and Address its address for peers, empty without peers.
 	VM, Process, Address string
 	Tolerance            ratelimiter.Tolerance
-	// Limited reports whether the configuration limits any account.
-	Limited func() bool
+	// Needed reports whether the configuration names accounts, which may have limits.
+	Needed func() bool
 }
 
 // Dependencies are the components that a Rationer depends on.
@@ -62,7 +62,9 @@
 	avoided map[string]time.Time
 	// campaigns has one attempt to hold an arc at a time.
 	campaigns singleflight.Group
-	counts    counts
+	// ready is set once the members were known or not needed.
+	ready  bool
+	counts counts
 }
 
 // route is the member that last served an arc.
@@ -91,7 +93,7 @@
 	return x
 }
 
-// Start discovers the other members once an account is limited, and renews leases until the context ends.
+// Start discovers the other members once the configuration names accounts, and renews leases until the context ends.
 func (x *Rationer) Start(ctx context.Context) {
 	x.tomb, _ = tomb.WithContext(ctx)
 	x.tomb.Go(supervisor.Loop(x.tomb, "rationer: leases", x.run))
@@ -100,11 +102,13 @@
 	}
 }
 
-// Ready reports whether requests of limited accounts can be served: the members are known, or not needed.
+// Ready reports whether this daemon may begin to serve requests of limited accounts: the members are known, or not needed. It
+// stays true, so that a configuration with the first limits does not send clients away from all daemons.
 func (x *Rationer) Ready() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.limiter.Ring() != nil || !x.options.Limited()
+	x.ready = x.ready || x.limiter.Ring() != nil || !x.options.Needed()
+	return x.ready
 }
 
 // Counts returns the counters.
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -194,7 +194,7 @@
 	d.isolator = isolator.Start(ctx, d.relayer, d.logger, isolator.Options{Name: o.Name, Crashed: d.hasEnded})
 	d.versions = versioner.Start(ctx, d.relayer)
 	d.limits = rationer.New(rationer.Dependencies{Peers: d.relayer, Table: d.relayer, Feed: d.relayer, Logger: d.logger}, rationer.Options{
-		VM: o.VM, Process: o.Name, Address: o.PeerAddress, Tolerance: o.Tolerance, Limited: d.limited,
+		VM: o.VM, Process: o.Name, Address: o.PeerAddress, Tolerance: o.Tolerance, Needed: d.hasAccounts,
 	})
 	d.relayer.Register(rationer.ServiceName, d.limits.Service())
 	d.forwarder = forwarder.New(forwarder.Dependencies{
@@ -245,8 +245,11 @@
 // the same number.
 func (d *Daemon) estimateDaemons() int { return d.relayer.MemberCount() * max(1, d.options.Zones) }
 
-// limited reports whether the configuration limits an account.
-func (d *Daemon) limited() bool { return len(d.catalog.Current().RateLimits()) > 0 }
+// hasAccounts reports whether the configuration names accounts.
+func (d *Daemon) hasAccounts() bool {
+	c := d.catalog.Current()
+	return c != nil && c.HasAccounts()
+}
 
 func (d *Daemon) readyHandler() http.Handler {
 	mux := goji.NewMux()
