ratelimiter,rationer: [fix] what is not known counts as spent for accounts that have a bucket, too

Accounts could run up to a burst too many. Cause, found by TestAtMostOneMemberHoldsAnArc (rapid., and its next run): a member that held an arc again, with the vote of a process that had just started and without that of the third member, went on with its own old buckets, although the other two had held the arc meanwhile; and a voter counted its memory from its start, although votes of the process before it are used for a second more. Change: all accounts are capped by what the second longest memory allows, and a voter's memory begins after a lease. The test cuts links of pairs and stops members as well. The candidacy is shorter; Rationer has its dependencies in a field.

--- a/internal/ratelimiter/candidacy.go
+++ b/internal/ratelimiter/candidacy.go
@@ -35,20 +35,21 @@
 		return nil
 	case rank == 0:
 		c.voters = slices.Clone(trio[1:])
+		c.ages = []time.Duration{now.Sub(x.started)} // It has taken all credits itself.
 	case rank == 1 && len(trio) == trioSize:
 		// The follower's own vote must be free, also that of a process that ran here before.
 		if c.acquire && (now.Before(a.promisedUntil) || now.Sub(x.started) < Lease) {
 			return nil
 		}
 		c.voters = []Member{trio[2]}
+		c.ages = []time.Duration{x.memory(now)}
 	default:
 		return nil
 	}
-	if a.voter == trio[len(trio)-1].Name && rank == 0 && len(trio) == trioSize && !c.acquire {
-		slices.Reverse(c.voters)
+	if !c.acquire && len(c.voters) > 1 && c.voters[1].Name == a.voter {
+		slices.Reverse(c.voters) // The present voter is asked first.
 	}
 	c.term = a.term
-	c.ages = []time.Duration{now.Sub(x.started)}
 	return c
 }
 
@@ -69,6 +70,7 @@
 	b := Ballot{Arc: c.arc, Candidate: x.self, Process: x.process, Trio: c.trio, Acquire: c.acquire}
 	a := x.arc(c.arc)
 	if !c.acquire {
+		// A voter that was not asked before gets all accounts.
 		b.Entries = a.entries(v.Name != a.voter, now)
 		c.sent = map[uint64]float64{}
 		for _, e := range b.Entries {
@@ -81,8 +83,8 @@
 	return v, b, true
 }
 
-// Receive adds a voter's reply to the last ballot, nil if there was none. It returns true if this daemon holds the arc.
-func (c *Candidacy) Receive(voter Member, v *Vote, now time.Time) bool {
+// Receive adds a voter's reply to the last ballot, nil if there was none.
+func (c *Candidacy) Receive(voter Member, v *Vote, now time.Time) {
 	x := c.limiter
 	a := x.arc(c.arc)
 	granted := v != nil && v.Granted
@@ -93,14 +95,13 @@
 		if v != nil && len(v.Trio) > 0 {
 			x.learn(v.Trio, now)
 		}
-		return false
+		return
 	}
 	if c.voter == "" {
 		c.voter = voter.Name
 	}
 	c.ages = append(c.ages, v.Age)
 	c.replies = append(c.replies, *v)
-	return true
 }
 
 // confirm records whether the entries of the last ballot have arrived.
@@ -162,8 +163,12 @@
 			a.lostAt = now
 		}
 	}
-	a.knownSince = now.Add(-c.known())
+	known := c.known()
+	a.knownSince = now.Add(-known)
 	for _, b := range a.buckets {
+		// Others may have held the arc before that, and taken credits of accounts that are known too.
+		b.advance(now)
+		b.credits = min(b.credits, 1+b.limit.rate*known.Seconds())
 		b.changed = true
 	}
 }
--- a/internal/ratelimiter/limit.go
+++ b/internal/ratelimiter/limit.go
@@ -9,7 +9,7 @@
 // maxRate bounds rates and bursts, so that sums and products don't overflow.
 const maxRate = 1e9
 
-// Limit is the limit of an account, a token bucket (RFC 2697 has one in bytes); the zero value is no limit.
+// Limit is the rate and the burst of an account's token bucket; the zero value is no limit.
 type Limit struct{ rate, burst float64 }
 
 // NewLimit returns a limit of rate requests per second and burst requests at once, or no limit if rate is not
--- a/internal/ratelimiter/limiter.go
+++ b/internal/ratelimiter/limiter.go
@@ -74,9 +74,6 @@
 // Ring returns the ring, nil if it is not known.
 func (x *Limiter) Ring() *Ring { return x.ring }
 
-// Tolerance returns what accounts may run beyond their limits.
-func (x *Limiter) Tolerance() Tolerance { return x.tolerance }
-
 // learn adds members that another one named.
 func (x *Limiter) learn(members []Member, now time.Time) {
 	known := x.ring.With(members...)
--- a/internal/ratelimiter/limiter_test.go
+++ b/internal/ratelimiter/limiter_test.go
@@ -22,14 +22,15 @@
 	members  []ratelimiter.Member
 	limiters []*ratelimiter.Limiter
 	starts   int
-	// away are the members that nobody reaches.
-	away map[int]bool
-	key  uint64
-	arc  string
+	// away are the members that nobody reaches, and cut the pairs that don't reach each other, by the sum of their
+	// indices.
+	away, cut map[int]bool
+	key       uint64
+	arc       string
 }
 
 func newTrio(t testing.TB) *trio {
-	x := &trio{t: t, now: time.Now(), away: map[int]bool{}, key: ratelimiter.KeyOf("account")}
+	x := &trio{t: t, now: time.Now(), away: map[int]bool{}, cut: map[int]bool{}, key: ratelimiter.KeyOf("account")}
 	var all []ratelimiter.Member
 	for i := range 3 {
 		all = append(all, ratelimiter.Member{Name: fmt.Sprintf("m%d", i), Address: fmt.Sprintf("a%d", i)})
@@ -67,7 +68,7 @@
 		}
 		var reply *ratelimiter.Vote
 		for k, m := range x.members {
-			if m == voter && !x.away[k] && !x.away[i] {
+			if m == voter && !x.away[k] && !x.away[i] && !x.cut[i+k] {
 				v := x.limiters[k].Vote(ballot, x.now)
 				reply = &v
 			}
@@ -208,11 +209,22 @@
 		last := -1
 		for range 40 {
 			i := rapid.IntRange(0, 2).Draw(rt, "member")
-			switch rapid.IntRange(0, 4).Draw(rt, "event") {
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
 			case 0:
 				x.start(i)
 			case 1:
 				x.away[i] = !x.away[i]
+			case 2:
+				x.cut[1+i] = !x.cut[1+i]
+			case 3: // A planned stop, whose message may be lost.
+				for _, h := range x.limiters[i].Leave(x.now) {
+					for k, m := range x.members {
+						if m == h.To() && !x.away[i] && !x.away[k] && !x.cut[i+k] {
+							x.limiters[k].Accept(h.Release(), x.now)
+						}
+					}
+				}
+				x.start(i)
 			default:
 				x.pass(time.Duration(rapid.IntRange(0, 1200).Draw(rt, "pause")) * time.Millisecond)
 			}
--- a/internal/ratelimiter/vote.go
+++ b/internal/ratelimiter/vote.go
@@ -25,7 +25,7 @@
 	if !x.mayVote(a, trio, b, now) {
 		return Vote{}
 	}
-	reply := Vote{Granted: true, Age: now.Sub(x.started)}
+	reply := Vote{Granted: true, Age: x.memory(now)}
 	if a.holding {
 		// The arc's own member is back.
 		a.holding, a.holder, a.exact = false, x.process, true
@@ -43,6 +43,10 @@
 	return reply
 }
 
+// memory returns for how long this daemon has known of all credits taken with its vote. In the first second, that of a
+// process which ran here before may still be used.
+func (x *Limiter) memory(now time.Time) time.Duration { return max(0, now.Sub(x.started)-Lease) }
+
 // mayVote reports whether this daemon's vote is free for a candidate.
 func (x *Limiter) mayVote(a *arc, trio []Member, b Ballot, now time.Time) bool {
 	own := slices.IndexFunc(trio, func(m Member) bool { return m.Name == x.self.Name })
--- a/internal/rationer/campaign.go
+++ b/internal/rationer/campaign.go
@@ -103,7 +103,7 @@
 	held := candidacy.Elect(time.Now())
 	x.mu.Unlock()
 	if candidacy.Acquires() {
-		x.Logger.Event("rationer", "candidacy").Str("arc", c.arc).Bool("held", held).Str("voter", candidacy.Voter()).
+		x.dependencies.Logger.Event("rationer", "candidacy").Str("arc", c.arc).Bool("held", held).Str("voter", candidacy.Voter()).
 			Dur("known", min(candidacy.Known(), time.Hour)).Dur("took", time.Since(began)).End()
 	}
 	return held
--- a/internal/rationer/membership.go
+++ b/internal/rationer/membership.go
@@ -50,7 +50,7 @@
 			return nil
 		}
 	}
-	follower.Start(x.tomb.Context(nil), x.Feed, m, follower.Options{Table: membersTable, PollInterval: membersPeriod, Timeout: membersTimeout, VerifyAfter: membersPeriod})
+	follower.Start(x.tomb.Context(nil), x.dependencies.Feed, m, follower.Options{Table: membersTable, PollInterval: membersPeriod, Timeout: membersTimeout, VerifyAfter: membersPeriod})
 	return (&expiry{membership: m}).run()
 }
 
@@ -106,7 +106,7 @@
 	if !ok || own.Member != x.self {
 		version, err := m.write(own.version)
 		if err != nil {
-			x.Logger.Event("rationer", "member row not written").Err(err).End()
+			x.dependencies.Logger.Event("rationer", "member row not written").Err(err).End()
 			return
 		}
 		own = member{x.self, version}
@@ -131,7 +131,7 @@
 	key := storer.Prefix(membersTable) + x.self.Name
 	ctx, cancel := context.WithTimeout(x.tomb.Context(nil), membersTimeout)
 	defer cancel()
-	v, err := x.Table.Commit(ctx, storer.Transaction{
+	v, err := x.dependencies.Table.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{Key: key, Version: version}}, Writes: []storer.Write{{Key: key, Value: value}},
 	})
 	return v, errors.Wrapf(err, "row %q", key)
@@ -179,7 +179,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.tomb.Context(nil), membersTimeout)
 	defer cancel()
-	if x.Peers.Call(ctx, before.Address, pingMethod, Empty{}, &Empty{}) == nil {
+	if x.dependencies.Peers.Call(ctx, before.Address, pingMethod, Empty{}, &Empty{}) == nil {
 		e.silent = 0
 		return nil
 	}
@@ -187,10 +187,10 @@
 		return nil
 	}
 	key := storer.Prefix(membersTable) + before.Name
-	_, err := x.Table.Commit(ctx, storer.Transaction{
+	_, err := x.dependencies.Table.Commit(ctx, storer.Transaction{
 		Conditions: []storer.Condition{{Key: key, Version: row.version}}, Writes: []storer.Write{{Key: key, Delete: true}},
 	})
-	x.Logger.Event("rationer", "member removed").Str("member", before.Name).Err(err).End()
+	x.dependencies.Logger.Event("rationer", "member removed").Str("member", before.Name).Err(err).End()
 	e.silent = 0
 	return nil
 }
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -50,10 +50,10 @@
 
 // Rationer takes the credits that requests of limited accounts need.
 type Rationer struct {
-	options Options
-	Dependencies
-	self ratelimiter.Member
-	tomb *tomb.Tomb
+	options      Options
+	dependencies Dependencies
+	self         ratelimiter.Member
+	tomb         *tomb.Tomb
 
 	mu      sync.Mutex
 	limiter *ratelimiter.Limiter
@@ -84,7 +84,7 @@
 	now := time.Now()
 	self := ratelimiter.Member{Name: o.VM, Address: o.Address}
 	x := &Rationer{
-		options: o, Dependencies: d, self: self, limiter: ratelimiter.New(self, o.Process, o.Tolerance, now),
+		options: o, dependencies: d, self: self, limiter: ratelimiter.New(self, o.Process, o.Tolerance, now),
 		routes: map[string]route{}, avoided: map[string]time.Time{},
 	}
 	if o.Address == "" {
@@ -147,7 +147,7 @@
 	defer supervisor.Recover("rationer: unused credit")
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	_ = c.credit.rationer.Peers.Call(ctx, c.credit.from.Address, giveBackMethod, GiveBackRequest{c.credit.key}, &Empty{})
+	_ = c.credit.rationer.dependencies.Peers.Call(ctx, c.credit.from.Address, giveBackMethod, GiveBackRequest{c.credit.key}, &Empty{})
 }
 
 func (x *Rationer) giveBack(key uint64) {
@@ -236,7 +236,7 @@
 func (x *Rationer) call(ctx context.Context, m ratelimiter.Member, method string, args, reply any) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := x.Peers.Call(ctx, m.Address, method, args, reply)
+	err := x.dependencies.Peers.Call(ctx, m.Address, method, args, reply)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if err != nil {
