ratelimiter: [fix] a handover at once in the first minute, and knowledge by who took a credit and who voted

Callers of an account whose holder stopped in its first minute were refused for up to a second, and held back after all daemons were killed. Change: an inquiry that leaves the vote free; memory by pairs of holder and voter.

--- a/internal/ratelimiter/candidacy.go
+++ b/internal/ratelimiter/candidacy.go
@@ -15,8 +15,8 @@
 	acquire bool
 	term    uint64
 	began   time.Time
-	// ages are for how long this daemon and the voters that replied know of all credits taken.
-	ages  []time.Duration
+	// ages are those of the processes of the trio's members, zero for those that did not reply.
+	ages  [trioSize]time.Duration
 	voter string
 	// replies are those of the voters, which are merged once the candidate is elected.
 	replies []Vote
@@ -35,14 +35,12 @@
 		return nil
 	case rank == 0:
 		c.voters = slices.Clone(trio[1:])
-		c.ages = []time.Duration{now.Sub(x.started)} // It has taken all credits itself.
 	case rank == 1 && len(trio) == trioSize:
 		// The follower's own vote must be free, also that of a process that ran here before.
 		if c.acquire && (now.Before(a.promisedUntil) || now.Sub(x.started) < Lease) {
 			return nil
 		}
 		c.voters = []Member{trio[2]}
-		c.ages = []time.Duration{x.memory(now)}
 	default:
 		return nil
 	}
@@ -50,6 +48,7 @@
 		slices.Reverse(c.voters) // The present voter is asked first.
 	}
 	c.term = a.term
+	c.ages[rank] = now.Sub(x.started)
 	return c
 }
 
@@ -67,7 +66,7 @@
 	if c.voter == "" {
 		c.began = now
 	}
-	b := Ballot{Arc: c.arc, Candidate: x.self, Process: x.process, Trio: c.trio, Acquire: c.acquire}
+	b := Ballot{Arc: c.arc, Candidate: x.self, Process: x.process, Trio: c.trio, Acquire: c.acquire, Inquiry: c.voter != ""}
 	a := x.arc(c.arc)
 	if !c.acquire {
 		// A voter that was not asked before gets all accounts.
@@ -91,16 +90,19 @@
 	if !c.acquire {
 		c.confirm(a, granted)
 	}
-	if !granted {
-		if v != nil && len(v.Trio) > 0 {
-			x.learn(v.Trio, now)
-		}
+	if v != nil && len(v.Trio) > 0 {
+		x.learn(v.Trio, now)
+	}
+	inquired := c.voter != ""
+	if v == nil || !granted && (!inquired || v.Leaving || len(v.Trio) > 0) {
 		return
 	}
-	if c.voter == "" {
+	if !inquired {
 		c.voter = voter.Name
 	}
-	c.ages = append(c.ages, v.Age)
+	if rank := slices.Index(c.trio, voter); rank >= 0 {
+		c.ages[rank] = v.Age
+	}
 	c.replies = append(c.replies, *v)
 }
 
@@ -119,15 +121,16 @@
 	c.sent = nil
 }
 
-// known returns for how long all credits taken are known. Each was taken by a majority of the trio, so that in a trio of
-// three it is known to one of the two with the longest memories; in a trio of two, to both.
+// known returns for how long all credits taken are known. The arc's own member took each with the vote of one of the others, or
+// the second one did with the vote of the third. Who took a credit knows of it as long as its process runs, and who voted does a
+// lease less, since votes of the process before it were used for as long.
 func (c *Candidacy) known() time.Duration {
-	ages := slices.Clone(c.ages)
-	for len(ages) < len(c.trio) {
-		ages = append(ages, 0)
+	own, second, third := c.ages[0], c.ages[1], c.ages[2]
+	known := max(own, second-Lease)
+	if len(c.trio) == trioSize {
+		known = min(known, max(own, third-Lease), max(second, third-Lease))
 	}
-	slices.Sort(ages)
-	return ages[1]
+	return known
 }
 
 // Elect ends the candidacy. It returns true if this daemon was elected, and all that it knew is synced.
--- a/internal/ratelimiter/messages.go
+++ b/internal/ratelimiter/messages.go
@@ -22,6 +22,8 @@
 	Trio []Member
 	// Acquire asks for what the voter knows of the arc's accounts. It is set unless the candidate holds the arc.
 	Acquire bool
+	// Inquiry asks only for that, since another member has voted for the candidate.
+	Inquiry bool
 	// Entries are the accounts that changed since the voter last confirmed a ballot of the candidate.
 	Entries []Entry
 }
@@ -38,7 +40,7 @@
 	Entries []Entry
 	Holder  string
 	Exact   bool
-	// Age is for how long the voter has known of all credits that were taken with its vote.
+	// Age is the age of the voter's process.
 	Age time.Duration
 }
 
--- a/internal/ratelimiter/vote.go
+++ b/internal/ratelimiter/vote.go
@@ -22,20 +22,22 @@
 		}
 	}
 	a := x.arc(b.Arc)
+	if b.Inquiry {
+		v := Vote{Age: now.Sub(x.started)}
+		x.tell(&v, a, now)
+		return v
+	}
 	if !x.mayVote(a, trio, b, now) {
 		return Vote{}
 	}
-	reply := Vote{Granted: true, Age: x.memory(now)}
+	reply := Vote{Granted: true, Age: now.Sub(x.started)}
 	if a.holding {
 		// The arc's own member is back.
 		a.holding, a.holder, a.exact = false, x.process, true
 	}
 	a.term++
 	if b.Acquire {
-		reply.Entries = a.entries(true, now)
-		if a.exact || now.Sub(a.promisedUntil) < rememberedFor {
-			reply.Holder, reply.Exact = a.holder, a.exact
-		}
+		x.tell(&reply, a, now)
 	}
 	a.store(b.Entries, now)
 	a.promised, a.promisedTo, a.promisedUntil = b.Process, b.Candidate.Name, now.Add(Lease)
@@ -43,9 +45,13 @@
 	return reply
 }
 
-// memory returns for how long this daemon has known of all credits taken with its vote. In the first second, that of a
-// process which ran here before may still be used.
-func (x *Limiter) memory(now time.Time) time.Duration { return max(0, now.Sub(x.started)-Lease) }
+// tell adds to a reply what this daemon knows of an arc.
+func (x *Limiter) tell(v *Vote, a *arc, now time.Time) {
+	v.Entries = a.entries(true, now)
+	if a.exact || now.Sub(a.promisedUntil) < rememberedFor {
+		v.Holder, v.Exact = a.holder, a.exact
+	}
+}
 
 // mayVote reports whether this daemon's vote is free for a candidate.
 func (x *Limiter) mayVote(a *arc, trio []Member, b Ballot, now time.Time) bool {
