rationer,ratelimiter: [fix] a panic leaves the lock free, and credits that are no number count as none

Cause, found in the last reading: a panic of a decision, of which no input is known, would have left the lock of all limits held, and with it each later request of a limited account waiting; a message with NaN credits from another daemon would have passed each comparison. Change: decisions run with the lock under defer; NaN counts as zero.

--- a/internal/ratelimiter/arc.go
+++ b/internal/ratelimiter/arc.go
@@ -92,7 +92,11 @@
 }
 
 func (e Entry) bucket(now time.Time) *bucket {
-	return newBucket(NewLimit(e.Rate, e.Burst), e.Version, e.Credits, now)
+	credits := e.Credits
+	if !(credits > 0) { // NaN would pass each comparison.
+		credits = 0
+	}
+	return newBucket(NewLimit(e.Rate, e.Burst), e.Version, credits, now)
 }
 
 // merge adds what another member knows. Of two statements about an account, the lower one counts, since the other
--- a/internal/rationer/campaign.go
+++ b/internal/rationer/campaign.go
@@ -16,24 +16,28 @@
 		case <-x.tomb.Dying():
 			return nil
 		}
-		now := time.Now()
-		x.mu.Lock()
-		due := x.limiter.Due(now)
-		for name, until := range x.avoided {
-			if now.After(until) {
-				delete(x.avoided, name)
-			}
+		for _, arc := range x.due() {
+			x.beginCampaign(arc)
 		}
-		for arc, r := range x.routes {
-			if now.After(r.until) {
-				delete(x.routes, arc)
-			}
+	}
+}
+
+// due returns the arcs whose leases are to be renewed, and forgets what is over.
+func (x *Rationer) due() []string {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for name, until := range x.avoided {
+		if now.After(until) {
+			delete(x.avoided, name)
 		}
-		x.mu.Unlock()
-		for _, arc := range due {
-			x.beginCampaign(arc)
+	}
+	for arc, r := range x.routes {
+		if now.After(r.until) {
+			delete(x.routes, arc)
 		}
 	}
+	return x.limiter.Due(now)
 }
 
 // beginCampaign begins to ask the voters of an arc, unless that is under way.
@@ -76,17 +80,17 @@
 // elect asks one voter after the other.
 func (c *campaign) elect() bool {
 	x := c.rationer
-	x.mu.Lock()
 	began := time.Now()
-	candidacy := x.limiter.Candidate(c.arc, began)
-	x.mu.Unlock()
+	var candidacy *ratelimiter.Candidacy
+	x.locked(func() { candidacy = x.limiter.Candidate(c.arc, began) })
 	if candidacy == nil {
 		return false
 	}
 	for {
-		x.mu.Lock()
-		voter, ballot, ok := candidacy.Next(time.Now())
-		x.mu.Unlock()
+		var voter ratelimiter.Member
+		var ballot ratelimiter.Ballot
+		var ok bool
+		x.locked(func() { voter, ballot, ok = candidacy.Next(time.Now()) })
 		if !ok {
 			break
 		}
@@ -95,13 +99,10 @@
 		if x.call(context.Background(), voter, voteMethod, ballot, &reply) {
 			vote = &reply
 		}
-		x.mu.Lock()
-		candidacy.Receive(voter, vote, time.Now())
-		x.mu.Unlock()
+		x.locked(func() { candidacy.Receive(voter, vote, time.Now()) })
 	}
-	x.mu.Lock()
-	held := candidacy.Elect(time.Now())
-	x.mu.Unlock()
+	held := false
+	x.locked(func() { held = candidacy.Elect(time.Now()) })
 	if candidacy.Acquires() {
 		x.dependencies.Logger.Event("rationer", "candidacy").Str("arc", c.arc).Bool("held", held).Str("voter", candidacy.Voter()).
 			Dur("known", min(candidacy.Known(), time.Hour)).Dur("took", time.Since(began)).End()
--- a/internal/rationer/rationer.go
+++ b/internal/rationer/rationer.go
@@ -255,10 +255,14 @@
 	}
 	request := q.request()
 	for range maxServeRounds {
-		x.mu.Lock()
-		outcome, wait := x.limiter.Take(request, time.Now())
-		arc, sync := x.limiter.ArcOf(q.Key), x.limiter.NeedsSync(q.Key)
-		x.mu.Unlock()
+		var outcome ratelimiter.Outcome
+		var wait time.Duration
+		var arc string
+		var sync bool
+		x.locked(func() {
+			outcome, wait = x.limiter.Take(request, time.Now())
+			arc, sync = x.limiter.ArcOf(q.Key), x.limiter.NeedsSync(q.Key)
+		})
 		switch outcome {
 		case ratelimiter.Granted, ratelimiter.Exhausted:
 			if sync {
@@ -282,12 +286,19 @@
 	return TakeReply{outcome, wait}
 }
 
+// locked calls f with the lock, which is free again after a panic too.
+func (x *Rationer) locked(f func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	f()
+}
+
 // relay passes a request on to the member that holds the arc by this daemon's vote. The daemon that asked may not reach
 // it.
 func (x *Rationer) relay(ctx context.Context, q TakeRequest) (TakeReply, bool) {
-	x.mu.Lock()
-	holder, ok := x.limiter.Holder(q.Key, time.Now())
-	x.mu.Unlock()
+	var holder ratelimiter.Member
+	var ok bool
+	x.locked(func() { holder, ok = x.limiter.Holder(q.Key, time.Now()) })
 	if !ok || q.Relayed {
 		return TakeReply{}, false
 	}
@@ -297,9 +308,8 @@
 
 // Leave hands over the arcs that this daemon holds; call it on a planned stop.
 func (x *Rationer) Leave(ctx context.Context) {
-	x.mu.Lock()
-	handovers := x.limiter.Leave(time.Now())
-	x.mu.Unlock()
+	var handovers []ratelimiter.Handover
+	x.locked(func() { handovers = x.limiter.Leave(time.Now()) })
 	for _, h := range handovers {
 		x.call(ctx, h.To(), releaseMethod, h.Release(), &Empty{})
 	}
