forwarder,docs: [new] a line for each record of a stream that waited for proof

Cause: nothing tells a proof that comes after the break from one that never comes. Change: one line at the end of the wait, with the age of the connection, whether the replica's end was seen before, the wait and its result. Result: the tests of streams of package forwarder pass; no logic is changed.

--- a/internal/forwarder/process.go
+++ b/internal/forwarder/process.go
@@ -106,7 +106,11 @@
 	defer supervisor.Recover("forwarder: record of a stream")
 	ctx, cancel := context.WithTimeout(context.Background(), originWait)
 	defer cancel()
-	if o.choice.AwaitOwned(ctx, o.opened) {
+	began, confirmed := time.Now(), o.choice.Confirmed()
+	owned := o.choice.AwaitOwned(ctx, o.opened)
+	if owned {
 		f.versions.Record(o.stream, o.origin)
 	}
+	f.logger.Event("forwarder", "record of a stream").Str("id", o.stream.RequestID).Str("replica", o.choice.Replica.ID).
+		Dur("connected", began.Sub(o.opened)).Bool("confirmed", confirmed).Dur("waited", time.Since(began)).Bool("proven", owned).End()
 }
