--- a/internal/forwarder/fixture_test.go
+++ b/internal/forwarder/fixture_test.go
@@ -93,6 +93,9 @@
 	reports       int
 	registry      *registryLoop
 	silentReports bool
+	// quietRows is set if the registry's feed leaves out rows of which the sequence alone changed.
+	quietRows bool
+	servers   []*httptest.Server
 	// onlyServing is the replica that serves while the others refuse, nil if all serve.
 	onlyServing *int
 	// rowBytes and historyBytes configure the archivist, and storeTimeout the forwarder.
@@ -115,6 +118,7 @@
 	for i, b := range replicas {
 		s := httptest.NewServer(f.record(i, b))
 		t.Cleanup(s.Close)
+		f.servers = append(f.servers, s)
 		list = append(list, &tracker.Replica{ID: fmt.Sprint(i), Service: "s", Address: strings.TrimPrefix(s.URL, "http://"), Slots: 4})
 	}
 	f.replicas = list
--- a/internal/forwarder/registry_test.go
+++ b/internal/forwarder/registry_test.go
@@ -35,6 +35,9 @@
 	var rows []tracker.Row
 	for id, r := range f.rows {
 		row := tracker.Row{ID: id}
+		if known := f.tracker.Find(id); f.quietRows && r != nil && known != nil && known.StartedMS == r.StartedMS {
+			continue
+		}
 		if r != nil {
 			next := *r
 			next.Sequence++
