versioner,forwarder,tracker,connector,server,docs: [fix] a stream that broke off goes on, whatever was proven when it began

Cause: where a stream began was recorded only once a read of the registry proved to which process its connection led, 0.2 to 0.9 s later and never after a seen end; streams live 0.1 to 0.5 s, and the proof ended with the daemon or the replica. Ruled out: records lost on their way to the store (streams-unrecorded is 0). Change: the record is written at the first event with what is known; the daemon that resumes the stream settles it, by the replica's own report, by its row if nothing listens there, or by a later read of the registry. A daemon of the former build does not find claims that are not proven. The fixture of package forwarder reports versions of the store and gives each process a start time of its own, as real ones have.

--- a/internal/connector/process.go
+++ b/internal/connector/process.go
@@ -106,6 +106,20 @@
 	return owned, err
 }
 
+// Identify asks a replica which process it is, for a call of which only the instance and the process
+// are used. It returns an error if the replica can't be asked.
+func (c *Connector) Identify(ctx context.Context, q *Call) (Identity, error) {
+	x, err := c.get(ctx, q)
+	if err != nil {
+		return UnknownProcess, err
+	}
+	reusable := false
+	defer func() { c.put(q.Instance, x, q.Limit, reusable) }() // Also if a function of the call panics.
+	identity, reusable, err := c.identify(ctx, q, x)
+	reusable = reusable && identity != OtherProcess
+	return identity, errors.Wrap(err, "ask for the report")
+}
+
 // identify asks a replica for its report, and reports whether the connection can be used after
 // that.
 func (c *Connector) identify(ctx context.Context, q *Call, x *conn) (identity Identity, reusable bool, err error) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -72,9 +72,11 @@
 	Tunnels *tunneler.Tunneler
 	// Reports reads the reports of replicas; nil if they have none.
 	Reports Reports
-	Logger  *logger.Logger
-	Scope   tally.Scope
-	Codec   Codec
+	// Registry reads rows of the registry; nil if only the known replicas tell.
+	Registry Registry
+	Logger   *logger.Logger
+	Scope    tally.Scope
+	Codec    Codec
 }
 
 // Forwarder proxies requests to replicas.
@@ -92,10 +94,10 @@
 	tunnels    *tunneler.Tunneler
 	meter      *meter
 	reports    Reports
+	registry   Registry
+	doubted    doubted
 	responses  *responseMemory
 	active     atomic.Int64
-	// awaitedOrigins is the number of records that wait.
-	awaitedOrigins atomic.Int64
 	// shutdown is nil unless a planned stop has begun.
 	shutdown atomic.Pointer[shutdown]
 	stages   stages
@@ -105,7 +107,7 @@
 func New(d Dependencies, o Options) *Forwarder {
 	return &Forwarder{
 		options: o, catalog: d.Catalog, placements: d.Placements, programs: d.Programs, isolator: d.Isolator, versions: d.Versions, limits: d.Limits,
-		logger: d.Logger, codec: d.Codec, conns: d.Connector, tunnels: d.Tunnels, reports: d.Reports, meter: newMeter(d.Scope), stages: newStages(),
+		logger: d.Logger, codec: d.Codec, conns: d.Connector, tunnels: d.Tunnels, reports: d.Reports, registry: d.Registry, meter: newMeter(d.Scope), stages: newStages(),
 		responses: newResponseMemory(o.ResponseBytes),
 	}
 }
--- a/internal/forwarder/meter.go
+++ b/internal/forwarder/meter.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"pimentorail.example/pimentorail/internal/cataloger"
+	"pimentorail.example/pimentorail/internal/versioner"
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
@@ -49,6 +50,14 @@
 	m.scope.Tagged(map[string]string{"admitted": strconv.FormatBool(admitted)}).Counter("resumptions").Inc(1)
 }
 
+// countOrigin counts the origin of a stream that a client resumes, and whether it was settled.
+func (m *meter) countOrigin(e versioner.Evidence, settled bool) {
+	if e == versioner.Proven {
+		e = "proven"
+	}
+	m.scope.Tagged(map[string]string{"evidence": string(e), "settled": strconv.FormatBool(settled)}).Counter("stream-origins").Inc(1)
+}
+
 func (m *meter) countAttempt(r result) { m.attempts[r].Inc(1) }
 
 // countWithoutMemory counts an attempt that failed because its response could not be held.
--- a/internal/forwarder/process.go
+++ b/internal/forwarder/process.go
@@ -7,8 +7,7 @@
 
 	"pimentorail.example/pimentorail/internal/connector"
 	"pimentorail.example/pimentorail/internal/selector"
-	"pimentorail.example/pimentorail/internal/supervisor"
-	"pimentorail.example/pimentorail/internal/versioner"
+	"pimentorail.example/pimentorail/internal/tracker"
 )
 
 const (
@@ -16,11 +15,6 @@
 	// registry if the replica does not tell its start time itself. The registry is read
 	// every 0.7 s, and a read proves a connection that was opened 0.3 s before.
 	resumptionWait = 1200 * time.Millisecond
-	// originWait is how long the record of a stream waits for the same. It is longer, since a
-	// replica whose end was seen in error writes its next row after 1.2 s.
-	originWait = 4 * time.Second
-	// maxAwaitedOrigins bounds the records that wait.
-	maxAwaitedOrigins = 1024
 )
 
 // Reports reads the reports in which replicas tell their own state.
@@ -32,6 +26,13 @@
 	StartedMS(report []byte) (int64, bool)
 }
 
+// Registry reads single rows of the registry of replicas.
+type Registry interface {
+	// Read returns the replica that the row of an id describes now, nil if there is no row. An error
+	// is that of the store or of an invalid row.
+	Read(ctx context.Context, id string) (*tracker.Replica, error)
+}
+
 // process implements connector.Process for the instance of a choice.
 type process struct {
 	choice  *selector.Choice
@@ -87,30 +88,3 @@
 	defer cancel()
 	return p.choice.AwaitOwned(ctx, opened)
 }
-
-// awaitedOrigin is the record of where a stream began that waits until it is known to which
-// process the connection leads on which the stream's first event came.
-type awaitedOrigin struct {
-	forwarder *Forwarder
-	choice    *selector.Choice
-	opened    time.Time
-	stream    versioner.Stream
-	origin    versioner.Origin
-}
-
-// run records the origin if that gets known in time. Without a record the stream is not
-// resumed.
-func (o *awaitedOrigin) run() {
-	f := o.forwarder
-	defer f.awaitedOrigins.Add(-1)
-	defer supervisor.Recover("forwarder: record of a stream")
-	ctx, cancel := context.WithTimeout(context.Background(), originWait)
-	defer cancel()
-	began, confirmed := time.Now(), o.choice.Confirmed()
-	owned := o.choice.AwaitOwned(ctx, o.opened)
-	if owned {
-		f.versions.Record(o.stream, o.origin)
-	}
-	f.logger.Event("forwarder", "record of a stream").Str("id", o.stream.RequestID).Str("replica", o.choice.Replica.ID).
-		Dur("connected", began.Sub(o.opened)).Bool("confirmed", confirmed).Dur("waited", time.Since(began)).Bool("proven", owned).End()
-}
--- a/internal/forwarder/registry_test.go
+++ b/internal/forwarder/registry_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -47,6 +48,9 @@
 	}
 	f.tracker.Update(copyRows(rows), time.Now())
 	f.mu.Unlock()
+	if _, version, err := f.store.List(context.Background(), "registry"); err == nil {
+		f.tracker.ReachedVersion(version)
+	}
 	f.tracker.ReadCompleted(began)
 }
 
@@ -112,7 +116,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := *f.rows[fmt.Sprint(replica)]
-	next.StartedMS, next.Version = time.Now().UnixMilli(), version
+	// No two processes of a replica start in one millisecond.
+	next.StartedMS, next.Version = max(time.Now().UnixMilli(), next.StartedMS+1), version
 	f.rows[next.ID] = &next
 }
 
--- a/internal/forwarder/resumption.go
+++ b/internal/forwarder/resumption.go
@@ -58,6 +58,9 @@
 	if fault := f.refuseUnsupported(s); fault != nil {
 		return fault
 	}
+	if fault := f.settleOrigin(ctx, j, s, o); fault != nil {
+		return fault
+	}
 	j.service, j.originVersion, j.recordVersion = s, o.Version, o.StoreVersion
 	return f.awaitOrigin(ctx, j)
 }
@@ -94,22 +97,33 @@
 	return classifier.New(classifier.CannotResume, classifier.RanNo, "no replica of service %q has version %q, at which the stream of request %q began", s, v, j.request.Resumes)
 }
 
-// recordOrigin records where a stream begins, before its first event is forwarded. The row of
-// its replica may be that of an earlier process than the one that sent the event. If the
-// connection, opened at a time, does not show that, the record waits, and the event does not.
+// recordOrigin records where a stream begins, before its first event is forwarded. The row of its
+// replica may be that of an earlier process than the one that sent the event on a connection
+// opened at a time, so that the record says what shows that it is not.
 func (f *Forwarder) recordOrigin(j *job, c *selector.Choice, opened time.Time) {
 	r := c.Replica
 	if !j.route.Resumable || j.resumes() || r.Version == "" {
 		return
 	}
-	stream, origin := j.stream(j.request.ID), versioner.Origin{Service: r.Service, Version: r.Version}
-	if c.Owns(opened) {
-		f.versions.Record(stream, origin)
-		return
+	e := evidence(c, opened)
+	if e == versioner.Doubtful {
+		f.doubted.add(c.Instance)
 	}
-	if f.awaitedOrigins.Add(1) > maxAwaitedOrigins {
-		f.awaitedOrigins.Add(-1)
-		return
+	f.versions.Record(j.stream(j.request.ID), versioner.Origin{
+		Service: r.Service, Version: r.Version, Replica: r.ID, StartedMS: r.StartedMS, BeganMS: time.Now().UnixMilli(), Evidence: e,
+	})
+}
+
+// evidence returns what is known about the process that a connection leads to, which was opened at a
+// time.
+func evidence(c *selector.Choice, opened time.Time) versioner.Evidence {
+	switch {
+	case c.Outlived(opened):
+		return versioner.Certain
+	case c.Owns(opened):
+		return versioner.Proven
+	case c.Confirmed():
+		return versioner.Unproven
 	}
-	go (&awaitedOrigin{forwarder: f, choice: c, opened: opened, stream: stream, origin: origin}).run()
+	return versioner.Doubtful
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -128,6 +128,24 @@
 	return s.views.tracker.AwaitCovered(ctx, version, since)
 }
 
+// Replica returns the known replica with an id, or nil.
+func (s *Selector) Replica(id string) *tracker.Replica { return s.views.tracker.Find(id) }
+
+// AliveSince reports whether the process of a replica's row wrote a row after a version of the
+// registry's store.
+func (s *Selector) AliveSince(r *tracker.Replica, version uint64) bool {
+	return s.views.tracker.AliveSince(r, version)
+}
+
+// Identified records that the process of a replica's row lived at a time.
+func (s *Selector) Identified(r *tracker.Replica, at time.Time) { s.views.tracker.Identified(r, at) }
+
+// EndedBefore returns the replicas whose process was seen to end, for the last time before a time,
+// and that are not confirmed since.
+func (s *Selector) EndedBefore(now time.Time) []*tracker.Replica {
+	return s.views.tracker.EndedBefore(now)
+}
+
 // Request is a request that needs a replica.
 type Request struct {
 	Service Service
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -199,7 +199,8 @@
 	d.relayer.Register(rationer.ServiceName, d.limits.Service())
 	d.forwarder = forwarder.New(forwarder.Dependencies{
 		Catalog: d.catalog, Placements: d.placements, Programs: d.programs, Isolator: d.isolator, Versions: d.versions, Limits: d.limits, Connector: d.conns, Tunnels: d.tunnels, Reports: p.Reports,
-		Logger: d.logger, Scope: d.metrics.Scope(), Codec: p.Codec,
+		Registry: &rowReader{table: d.relayer, name: p.ReplicaTable, decode: p.DecodeReplica},
+		Logger:   d.logger, Scope: d.metrics.Scope(), Codec: p.Codec,
 	}, forwarder.Options{
 		StoreTimeout: storeTimeout, RetryAfter: retryAfter, OutageRetryAfter: outageRetryAfter, ConfigAge: o.configAge(), Daemons: d.estimateDaemons, ResponseBytes: o.MemoryBytes / responsesDivisor,
 	})
@@ -225,6 +226,7 @@
 	}
 	d.tomb.Go(supervisor.Loop(d.tomb, "server: signals", (&signalLoop{daemon: d}).run))
 	d.tomb.Go(supervisor.Loop(d.tomb, "server: housekeeping", d.run))
+	d.tomb.Go(supervisor.Loop(d.tomb, "server: ends of replicas", (&endVerifier{daemon: d}).run))
 	d.tomb.Go((&opening{daemon: d, lifetime: runCtx}).run)
 }
 
--- a/internal/tracker/confirmation.go
+++ b/internal/tracker/confirmation.go
@@ -21,6 +21,9 @@
 	// lastRead is when the last read began, and lastSequence what it showed.
 	lastRead     time.Time
 	lastSequence int64
+	// aliveVersion is the latest version of the store after which the instance is certain to have
+	// lived, and lastVersion that of the last read.
+	aliveVersion, lastVersion uint64
 	// endedAt is when the process was last seen to end, zero if the instance is confirmed.
 	endedAt time.Time
 	// sequence is that of the first row that was read after the end was seen, and sequenceRead
@@ -39,13 +42,14 @@
 	return first
 }
 
-// read records that a read of the registry shows the instance with a sequence. It returns
-// true if that confirms an instance whose process was seen to end.
-func (c *confirmation) read(began time.Time, sequence int64) bool {
+// read records that a read of the registry, as of a version of the store, shows the instance with a
+// sequence. It returns true if that confirms an instance whose process was seen to end.
+func (c *confirmation) read(began time.Time, version uint64, sequence int64) bool {
 	if !c.lastRead.IsZero() && sequence > c.lastSequence {
 		c.aliveAt = later(c.aliveAt, c.lastRead) // The row was written after that read began.
+		c.aliveVersion = c.lastVersion
 	}
-	c.lastRead, c.lastSequence = began, sequence
+	c.lastRead, c.lastVersion, c.lastSequence = began, version, sequence
 	confirmed := false
 	switch {
 	case c.endedAt.IsZero():
--- a/internal/tracker/process.go
+++ b/internal/tracker/process.go
@@ -40,6 +40,20 @@
 	return list
 }
 
+// EndedBefore returns the replicas whose process was seen to end, for the last time before a time,
+// and that are not confirmed since.
+func (t *Tracker) EndedBefore(now time.Time) []*Replica {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var list []*Replica
+	for _, e := range t.entries {
+		if ended := e.confirmation.endedAt; !ended.IsZero() && ended.Before(now) && e.removeAt.IsZero() {
+			list = append(list, e.replica)
+		}
+	}
+	return list
+}
+
 // Owns reports whether a connection to an instance's address, opened at a time, is known to
 // lead to the process of the instance. It is not if the process may have been replaced by
 // another one whose row has not been read yet.
@@ -60,6 +74,14 @@
 	return e != nil && e.confirmation.outlived(opened)
 }
 
+// AliveSince reports whether an instance wrote a row after a version of the store.
+func (t *Tracker) AliveSince(r *Replica, version uint64) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.entryOf(r)
+	return e != nil && version > 0 && e.confirmation.aliveVersion >= version
+}
+
 // ReachedVersion records that the rows are those of a version of the store or a later one.
 func (t *Tracker) ReachedVersion(version uint64) {
 	t.mu.Lock()
@@ -105,7 +127,7 @@
 	t.readBegan = began
 	var changes []Change
 	for _, e := range t.entries {
-		if e.removeAt.IsZero() && e.confirmation.read(began, e.replica.Sequence) {
+		if e.removeAt.IsZero() && e.confirmation.read(began, t.readVersion, e.replica.Sequence) {
 			changes = append(changes, Change{e.replica, "confirmed"})
 		}
 	}
