screener,server,messenger,runner,docs: [fix] heads and connections of all clients together stay within the memory of the machine

What callers saw: clients with heads over the limit or without end ended a process, which ran out of memory. Cause: the limit of one head bounds its bytes, and nothing bounds what the decoder makes of them (over 100 bytes for a field of 5) or the sum over connections; the own interface took 1 MB a head. Change: package screener counts bytes and lines of heads while they arrive, at all listeners of serve (clients, ready, metrics, peers) and of daemon, against an eighth of the memory, and bounds connections, of which the longest waiting one makes room. The own interface takes 64 KB a head, and has memory-mb (256). Ruled out: limits of connections or of fields alone (docs/PLATFORM.md).

--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -90,6 +90,9 @@
 		klog.Warningf("messenger: rejected connection from %v: %v", c.RemoteAddr(), err)
 		return
 	}
+	if a, ok := c.(interface{ Admit() }); ok {
+		a.Admit() // The connection is no longer one of a stranger.
+	}
 	if kind == rpcKind {
 		newRPCSession(s.rpc, c).run()
 		return
--- a/internal/runner/daemon.go
+++ b/internal/runner/daemon.go
@@ -27,6 +27,7 @@
 	"pimentorail.example/pimentorail/internal/reaper"
 	"pimentorail.example/pimentorail/internal/router"
 	"pimentorail.example/pimentorail/internal/scheduler"
+	"pimentorail.example/pimentorail/internal/screener"
 	"pimentorail.example/pimentorail/internal/sequencer"
 	"pimentorail.example/pimentorail/internal/storer"
 )
@@ -38,6 +39,7 @@
 	shutdownDelay      = time.Second
 	readHeaderTimeout  = 10 * time.Second
 	idleTimeout        = 2 * time.Minute
+	maxHeaderBytes     = 64 << 10
 	inFlightPollPeriod = 50 * time.Millisecond
 )
 
@@ -69,16 +71,17 @@
 	reaper     *reaper.Reaper
 	controller *controller.Controller
 	metrics    *metrics
+	screener   *screener.Screener
 	httpServer *http.Server
 	// rpcListener and httpListener are open once Listen has returned.
-	rpcListener, httpListener *acceptor.Listener
+	rpcListener, httpListener net.Listener
 	cancel                    context.CancelFunc
 	tomb                      *tomb.Tomb
 }
 
 // New returns a daemon that is not started yet.
 func New(s Settings) *Daemon {
-	d := &Daemon{settings: s, metrics: newMetrics()}
+	d := &Daemon{settings: s, metrics: newMetrics(), screener: screener.New(s.memoryBytes())}
 	d.wireStore()
 	d.wireOwners()
 	d.wireEntry()
@@ -121,7 +124,8 @@
 	})
 	d.reaper = reaper.New(reaper.Options{Engines: d.dispatcher, Addresses: d.ownedEngines, Gone: d.conductor.Gone})
 	d.controller = controller.New(controller.Options{Engines: d.dispatcher, Owned: d.declaredEngines, Owns: d.ownsEngine})
-	d.httpServer = &http.Server{Handler: d.listener.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	d.httpServer = &http.Server{Handler: d.listener.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	d.screener.Guard(d.httpServer)
 }
 
 func (d *Daemon) order() scheduler.Order {
@@ -148,7 +152,7 @@
 		_ = rpcListener.Close()
 		return errors.WithMessage(err, "http-address")
 	}
-	d.rpcListener, d.httpListener = rpcListener, httpListener
+	d.rpcListener, d.httpListener = d.screener.Wrap(rpcListener), d.screener.Wrap(httpListener)
 	return nil
 }
 
--- a/internal/runner/settings.go
+++ b/internal/runner/settings.go
@@ -17,6 +17,7 @@
 	defaultPartitions  = 64
 	defaultIntervalMS  = 25
 	defaultStopLimitMS = 60_000
+	defaultMemoryMB    = 256
 )
 
 // Settings is the decoded settings file of a daemon.
@@ -35,8 +36,11 @@
 	// JournalIntervalMS is the minimum time between two batches, in milliseconds.
 	JournalIntervalMS int `json:"journal-interval-ms"`
 	// StopLimitMS is the maximum duration of a planned stop, in milliseconds.
-	StopLimitMS int            `json:"stop-limit-ms"`
-	Policies    PolicySettings `json:"policies"`
+	StopLimitMS int `json:"stop-limit-ms"`
+	// MemoryMB is the memory of the VM in MiB. It bounds what callers may take before their requests are
+	// known.
+	MemoryMB int            `json:"memory-mb"`
+	Policies PolicySettings `json:"policies"`
 }
 
 // PolicySettings select the policies for the order of calls, routing, windows and
@@ -59,7 +63,7 @@
 // ParseSettings checks and decodes settings. If the check fails, the error is a
 // validator.Faults.
 func ParseSettings(data []byte) (*Settings, error) {
-	s := Settings{Partitions: defaultPartitions, JournalIntervalMS: defaultIntervalMS, StopLimitMS: defaultStopLimitMS}
+	s := Settings{Partitions: defaultPartitions, JournalIntervalMS: defaultIntervalMS, StopLimitMS: defaultStopLimitMS, MemoryMB: defaultMemoryMB}
 	if err := settingsValidator.Decode(data, &s); err != nil {
 		return nil, err
 	}
@@ -70,6 +74,14 @@
 	return time.Duration(s.JournalIntervalMS) * time.Millisecond
 }
 
+// memoryBytes returns the memory of the VM in bytes; also for settings that were not parsed.
+func (s *Settings) memoryBytes() int64 {
+	if s.MemoryMB == 0 {
+		return defaultMemoryMB << 20
+	}
+	return int64(s.MemoryMB) << 20
+}
+
 func (s *Settings) stopLimit() time.Duration {
 	return time.Duration(s.StopLimitMS) * time.Millisecond
 }
--- a/internal/server/clientconn.go
+++ b/internal/server/clientconn.go
@@ -56,6 +56,9 @@
 	return true
 }
 
+// NetConn returns the connection that this one follows.
+func (c *clientConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the connection's sending side, which http.Server does before it closes a
 // connection on which the client may still send.
 func (c *clientConn) CloseWrite() error {
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -26,6 +26,7 @@
 	"pimentorail.example/pimentorail/internal/rationer"
 	"pimentorail.example/pimentorail/internal/relayer"
 	"pimentorail.example/pimentorail/internal/reporter"
+	"pimentorail.example/pimentorail/internal/screener"
 	"pimentorail.example/pimentorail/internal/selector"
 	"pimentorail.example/pimentorail/internal/storer"
 	"pimentorail.example/pimentorail/internal/supervisor"
@@ -127,6 +128,7 @@
 	listening    atomic.Bool
 	clientServer *http.Server
 	clientConns  *clientConns
+	screener     *screener.Screener
 	readyServer  *http.Server
 	// metricsServer is nil without an address for metrics.
 	metricsServer *http.Server
@@ -169,7 +171,7 @@
 }
 
 func newDaemon(ctx context.Context, o Options, p Platform, l *logger.Logger) *Daemon {
-	d := &Daemon{options: o, platform: p, logger: l, catalog: &cataloger.Keeper{}, metrics: reporter.New(reportPeriod), clientConns: newClientConns()}
+	d := &Daemon{options: o, platform: p, logger: l, catalog: &cataloger.Keeper{}, metrics: reporter.New(reportPeriod), clientConns: newClientConns(), screener: screener.New(o.MemoryBytes)}
 	d.failures = supervisor.Observe(d.logFailure)
 	d.outageLog = newOutageLog(d.logger)
 	d.tracker = tracker.New(tracker.Options{OutageGrace: outageGrace})
@@ -220,9 +222,12 @@
 	d.logStart()
 	d.clientServer = d.newServer(d.platform.Ingress(d.forwarder, d.catalog))
 	d.clientServer.ConnState = d.clientConns.observe
+	d.screener.Guard(d.clientServer)
 	d.readyServer = d.newServer(d.readyHandler())
+	d.screener.Guard(d.readyServer)
 	if d.options.MetricsAddress != "" {
 		d.metricsServer = d.newServer(d.metrics.Handler())
+		d.screener.Guard(d.metricsServer)
 	}
 	d.tomb.Go(supervisor.Loop(d.tomb, "server: signals", (&signalLoop{daemon: d}).run))
 	d.tomb.Go(supervisor.Loop(d.tomb, "server: housekeeping", d.run))
@@ -301,6 +306,7 @@
 	recorded, dropped := d.versions.Counts()
 	coordinatorsAsked, fellBack, placed := d.placements.Counts()
 	limits := d.limits.Counts()
+	clients := d.screener.Counts()
 	u := readUsage()
 	u.update(d.metrics.Scope())
 	line := d.logger.Event("server", "counts").Int("active", d.forwarder.Active()).
@@ -316,6 +322,7 @@
 		Int("relayed", int(relayed)).Int("relays-served", int(served)).
 		Int("detoured", int(c.Detoured)).Int("tunnels-served", d.tunnelService.Active()).
 		Int("dialed", int(c.Dialed)).Int("reused", int(c.Reused)).Int("failed", int(c.Failed)).Int("foreign", int(c.Foreign)).Int("identified", int(c.Identified)).
+		Int("heads-refused", int(clients.Refused)).Int("clients-evicted", int(clients.Evicted)).Int("clients-open", clients.Open).Int("head-bytes", int(clients.HeadBytes)).
 		Int("lines-dropped", int(d.logger.Dropped())).Int("lines-unwritten", int(d.logger.Unwritten()))
 	u.appendTo(line).End()
 }
--- a/internal/server/opening.go
+++ b/internal/server/opening.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return openingError(err)
 	}
-	d.tomb.Go((&acceptLoop{server: d.readyServer, listener: ready, stopping: &d.stopping}).run)
+	d.tomb.Go((&acceptLoop{server: d.readyServer, listener: d.screener.Wrap(ready), stopping: &d.stopping}).run)
 	o.follow(ctx)
 	if d.metricsServer != nil {
 		d.tomb.Go(supervisor.Task("server: metrics", (&metricsOpening{daemon: d}).run))
@@ -46,7 +46,7 @@
 	if err != nil {
 		return openingError(err)
 	}
-	d.tomb.Go((&acceptLoop{server: d.clientServer, listener: d.clientConns.wrap(clients), stopping: &d.stopping}).run)
+	d.tomb.Go((&acceptLoop{server: d.clientServer, listener: d.clientConns.wrap(d.screener.Wrap(clients)), stopping: &d.stopping}).run)
 	d.listening.Store(true)
 	d.logger.Event("server", "listening").Dur("took", time.Since(began)).End()
 	return nil
@@ -85,7 +85,7 @@
 	d := m.daemon
 	l, err := d.acceptor.Open(d.tomb.Context(nil), "metrics", d.options.MetricsAddress)
 	if err == nil {
-		return (&acceptLoop{server: d.metricsServer, listener: l, stopping: &d.stopping}).run()
+		return (&acceptLoop{server: d.metricsServer, listener: d.screener.Wrap(l), stopping: &d.stopping}).run()
 	}
 	if err = openingError(err); err != nil {
 		d.logger.Event("server", "no metrics").Err(err).End()
@@ -126,5 +126,5 @@
 	if err != nil {
 		return nil, err // A nil *Listener would be a net.Listener that is not nil.
 	}
-	return l, nil
+	return d.screener.Wrap(l), nil
 }
