connector,tunneler: [fix] a reset that meets the upload ends no response

Cause: a reset fails one call of the connection. If that is the write of the request, the read that follows sees an end like that of a complete response. Change: a response that ends with its connection is complete only if the request was written without an error; the same for tunnels through peers. A replica that closes its side only, and reads on, has sent a complete one. The tunnel's part has no test of its own.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -20,6 +20,9 @@
 	// maxSkippedResponses limits the informational responses and the responses to other
 	// requests that are read for one exchange.
 	maxSkippedResponses = 4
+	// lateWriteTimeout is how long the rest of a request may be written after its response has ended
+	// with the connection. A replica may read on after it has closed its side.
+	lateWriteTimeout = time.Second
 	// maxSkippedBytes limits the body of a skipped response.
 	maxSkippedBytes = 1 << 20
 )
@@ -37,9 +40,12 @@
 	conn          *conn
 	stopInterrupt func() bool
 	// written receives the result of writing the request.
-	written  chan error
-	complete bool
-	closed   bool
+	written chan error
+	// isWritten is set once the result was received, and writeErr is the result.
+	isWritten bool
+	writeErr  error
+	complete  bool
+	closed    bool
 }
 
 // Do sends a request and returns once the head of its response has been read. Errors are
@@ -187,6 +193,9 @@
 // Read reads the body of the response. It returns io.EOF only after the complete body.
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.Response.Body.Read(p)
+	if err == io.EOF && e.endsWithConnection() {
+		err = e.checkWritten()
+	}
 	if err == io.EOF {
 		e.complete = true
 		return n, err
@@ -194,6 +203,32 @@
 	return n, e.observe(err)
 }
 
+// endsWithConnection reports whether only the end of the connection ends the response.
+func (e *Exchange) endsWithConnection() bool {
+	r := e.Response
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// checkWritten returns io.EOF if the end of the connection is that of the response. A reset fails one
+// call of the connection only: if it meets the write of the request, the read that follows sees
+// an end like that of a complete response.
+func (e *Exchange) checkWritten() error {
+	if !e.isWritten {
+		timer := time.NewTimer(lateWriteTimeout)
+		defer timer.Stop()
+		select {
+		case e.writeErr = <-e.written:
+			e.isWritten = true
+		case <-timer.C:
+			return errors.Wrap(io.ErrUnexpectedEOF, "the replica closed the connection before it had read the request")
+		}
+	}
+	if e.writeErr != nil {
+		return errors.Wrapf(io.ErrUnexpectedEOF, "the replica reset the connection while the request was written: %v", e.writeErr)
+	}
+	return io.EOF
+}
+
 // Discard reads and drops the rest of the body, so that the connection can be reused. It
 // gives up after a number of bytes or a time, since the body may have no end.
 func (e *Exchange) Discard(maxBytes int64, timeout time.Duration) error {
@@ -227,12 +262,15 @@
 
 // fullySent reports whether the whole request has been written.
 func (e *Exchange) fullySent() bool {
-	select {
-	case err := <-e.written:
-		return err == nil
-	default:
-		return false
+	if !e.isWritten {
+		select {
+		case e.writeErr = <-e.written:
+			e.isWritten = true
+		default:
+			return false
+		}
 	}
+	return e.writeErr == nil
 }
 
 // keepAliveTimeout returns the idle timeout of a connection according to the Keep-Alive
--- a/internal/tunneler/tunnel.go
+++ b/internal/tunneler/tunnel.go
@@ -10,8 +10,14 @@
 	"pimentorail.example/pimentorail/internal/supervisor"
 )
 
-// noticeTimeout bounds the write of a notice to a peer that does not read.
-const noticeTimeout = 300 * time.Millisecond
+const (
+	// noticeTimeout bounds the write of a notice to a peer that does not read.
+	noticeTimeout = 300 * time.Millisecond
+	// lateWriteTimeout is how long a write may last after the replica has ended its side, and latePoll
+	// the time between two looks whether it has ended.
+	lateWriteTimeout = time.Second
+	latePoll         = 5 * time.Millisecond
+)
 
 // tunnel joins a connection of a peer with one to a replica.
 type tunnel struct {
@@ -20,6 +26,10 @@
 	replica net.Conn
 	// mu is held while a frame is written to the peer.
 	mu sync.Mutex
+	// writing is held while something is written to the replica, and protects writeErr, the error of
+	// such a write.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // run copies bytes until one of the connections ends. Then it closes both, so that a request
@@ -44,7 +54,7 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		if err == io.EOF && t.hasEnded() {
 			t.writeHead(endFrame)
 		}
 		if err != nil {
@@ -53,6 +63,33 @@
 	}
 }
 
+// hasEnded reports whether the replica has ended its side, rather than reset the connection: a reset
+// fails one call only, and if that is a write, the read that follows sees an end.
+func (t *tunnel) hasEnded() bool {
+	for end := time.Now().Add(lateWriteTimeout); !t.writing.TryLock(); time.Sleep(latePoll) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	defer t.writing.Unlock()
+	return t.writeErr == nil
+}
+
+// replicaWriter writes to the replica of a tunnel.
+type replicaWriter struct{ tunnel *tunnel }
+
+// Write implements io.Writer.
+func (w replicaWriter) Write(p []byte) (int, error) {
+	t := w.tunnel
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	n, err := t.replica.Write(p)
+	if err != nil {
+		t.writeErr = err
+	}
+	return n, err
+}
+
 // writeHead writes a frame without data.
 func (t *tunnel) writeHead(length int) {
 	t.mu.Lock()
@@ -81,5 +118,5 @@
 	// The peer has closed its connection, or the replica's has failed.
 	defer t.replica.Close()
 	defer supervisor.Recover("tunneler: copy to a replica")
-	_, _ = io.CopyBuffer(struct{ io.Writer }{t.replica}, struct{ io.Reader }{t.reader}, make([]byte, maxFrame))
+	_, _ = io.CopyBuffer(replicaWriter{t}, struct{ io.Reader }{t.reader}, make([]byte, maxFrame))
 }
