--- a/internal/forwarder/brokenbody_test.go
+++ b/internal/forwarder/brokenbody_test.go
@@ -37,6 +37,10 @@
 		{name: "204 with a body", script: script{[]string{"HTTP/1.1 204 No Content\r\nId: $ID\r\nStamp: 7\r\nContent-Length: 6\r\n\r\nbroken"}, keepsOpen}, status: 204},
 		{name: "304", script: script{[]string{"HTTP/1.1 304 Not Modified\r\nId: $ID\r\nStamp: 7\r\nContent-Length: 6\r\n\r\n"}, keepsOpen}, status: 304},
 	}
+	// A status that is none was passed on, or closed the client's channel without a response.
+	for _, status := range []string{"000 None", "001 None", "099 None", "600 None", "999 None"} {
+		rows = append(rows, responseRow{name: status, script: script{[]string{bodyHead(status, "Content-Length: 5\r\n"), "hello"}, keepsOpen}, status: 502})
+	}
 	broken := []responseRow{
 		{name: "a part of its length", script: script{[]string{bodyHead("200 OK", length), part}, closes}},
 		{name: "until a reset", script: script{[]string{bodyHead("200 OK", ""), part}, resets}},
