dispatcher: [fix] a reset that meets the call ends no response, at the own interface as well

What callers saw: as at serve, a part of a response without a length looked complete. Change: such a response counts once the request is known to be written (httptrace).

--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -37,7 +37,8 @@
 
 // Service sends a service call once and never retries it. Errors are of type *Error.
 func (d *Dispatcher) Service(ctx context.Context, address string, q ServiceRequest) (ServiceResult, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/call", bytes.NewReader(q.Body))
+	var written callWrite
+	req, err := http.NewRequestWithContext(written.trace(ctx), http.MethodPost, "http://"+address+"/call", bytes.NewReader(q.Body))
 	if err != nil {
 		return ServiceResult{}, newError(classifier.TargetAway, classifier.RanNo, err)
 	}
@@ -61,6 +62,9 @@
 		return ServiceResult{}, newError(classifier.TargetRefused, classifier.RanNo, errors.Errorf("service returned status %d", resp.StatusCode))
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(body) <= maxResponseBytes {
+		err = written.check(resp)
+	}
 	if err != nil {
 		return ServiceResult{}, serviceError(ctx, err)
 	}
