dispatcher: [fix] a status that is none is no response of a service

Change: 502 at the caller, may have run. Result: TestAStatusThatIsNoneIsNoResponse failed before and passes.

--- a/internal/dispatcher/brokenresponse_test.go
+++ b/internal/dispatcher/brokenresponse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -59,3 +60,12 @@
 	}
 	is.Equal(complete, 0)
 }
+
+// A status that is none was passed on, and the listener panicked.
+func TestAStatusThatIsNoneIsNoResponse(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []string{"000", "099", "600", "999"} {
+		address := startHasty(t, fmt.Sprintf("HTTP/1.1 %s None\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status))
+		is.True(call(address, 0) != nil) // The status.
+	}
+}
--- a/internal/dispatcher/service.go
+++ b/internal/dispatcher/service.go
@@ -28,6 +28,9 @@
 	Valid func() bool
 }
 
+// minStatus and maxStatus bound the status codes that there are (RFC 9110, section 15).
+const minStatus, maxStatus = 100, 599
+
 // ServiceResult is the complete response of a plain service.
 type ServiceResult struct {
 	Status      int
@@ -61,6 +64,9 @@
 	if slices.Contains(q.NotRunStatuses, resp.StatusCode) {
 		return ServiceResult{}, newError(classifier.TargetRefused, classifier.RanNo, errors.Errorf("service returned status %d", resp.StatusCode))
 	}
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return ServiceResult{}, newError(classifier.TargetBroken, classifier.RanUnknown, errors.Errorf("response has status %q, which is none", resp.Status))
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err == nil && len(body) <= maxResponseBytes {
 		err = written.check(resp)
