--- a/internal/tunneler/fixture_test.go
+++ b/internal/tunneler/fixture_test.go
@@ -231,6 +231,14 @@
 			case <-time.After(5 * time.Millisecond):
 			}
 		}
+	case "/hasty": // It answers before it has read the request, and resets the connection.
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
 	case "/until-close":
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
