--- a/internal/forwarder/settlement.go
+++ b/internal/forwarder/settlement.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -16,17 +14,6 @@
 	"pimentorail.example/pimentorail/pkg/classifier"
 )
 
-const (
-	// rowDelay is how long after it begins to listen a replica may take to write its first row.
-	rowDelay = 300 * time.Millisecond
-	// inquiryTimeout bounds the question which process a replica is.
-	inquiryTimeout = 400 * time.Millisecond
-	// verifyAfter is how long a seen end may be confirmed or refuted by the registry alone.
-	verifyAfter = 700 * time.Millisecond
-	// maxDoubted bounds the instances that wait for a question.
-	maxDoubted = 10_000
-)
-
 // settleOrigin returns a fault if it can't be shown that a stream began at the version of its
 // record. It asks the replica at which the stream began, and waits for a read of the registry if
 // the replica doesn't answer.
@@ -40,7 +27,7 @@
 	}
 	if verdict == versioner.Open {
 		waitCtx, cancel := context.WithTimeout(ctx, resumptionWait)
-		found.Covered = f.placements.AwaitCovered(waitCtx, 0, j.request.Arrived.Add(rowDelay))
+		found.Covered = f.placements.AwaitCovered(waitCtx, 0, j.request.Arrived.Add(tracker.RowDelay))
 		cancel()
 		found.Replaced = found.Covered && !f.describes(f.placements.Replica(o.Replica), o)
 		verdict = o.Settle(found)
@@ -112,105 +99,3 @@
 	}
 	return versioner.Finding{Covered: true}
 }
-
-// VerifyEnds asks the replicas whose process was seen to end, at which streams began since, and that
-// have not been confirmed for a while, which process they are; call it periodically. A connection
-// that breaks off is rarely the end of its process, and the replica's next row may look unchanged.
-func (f *Forwarder) VerifyEnds(ctx context.Context) {
-	c := f.catalog.Current()
-	if c == nil {
-		return
-	}
-	for _, r := range f.placements.EndedBefore(time.Now().Add(-verifyAfter)) {
-		if s := c.Service(r.Service); s != nil && f.doubted.take(r.Instance()) {
-			_, _ = f.newInquiry(r).ask(ctx, f, s) // Without an answer the end stays likely.
-		}
-	}
-}
-
-// doubted are the instances at which streams began after their end was seen.
-type doubted struct {
-	mu        sync.Mutex
-	instances map[string]bool
-}
-
-// add adds an instance.
-func (d *doubted) add(instance string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.instances == nil || len(d.instances) >= maxDoubted {
-		d.instances = map[string]bool{}
-	}
-	d.instances[instance] = true
-}
-
-// take removes an instance, and reports whether it was there.
-func (d *doubted) take(instance string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	found := d.instances[instance]
-	delete(d.instances, instance)
-	return found
-}
-
-// inquiry is the question which process a replica is. It implements connector.Process for the process
-// of the replica's row.
-type inquiry struct {
-	forwarder *Forwarder
-	replica   *tracker.Replica
-	// askedAt is when the question was begun. A process that answers it lived then.
-	askedAt time.Time
-	// startedMS is the start time that the replica named, in Unix milliseconds.
-	startedMS int64
-}
-
-func (f *Forwarder) newInquiry(r *tracker.Replica) *inquiry {
-	return &inquiry{forwarder: f, replica: r, askedAt: time.Now()}
-}
-
-// ask asks the replica. The process is unknown if it names no start. An error means that it can't
-// be asked.
-func (q *inquiry) ask(ctx context.Context, f *Forwarder, s *cataloger.Service) (connector.Identity, error) {
-	if q.ReportTarget() == "" {
-		return connector.UnknownProcess, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, inquiryTimeout)
-	defer cancel()
-	return f.conns.Identify(ctx, &connector.Call{
-		Instance: q.replica.Instance(), Address: q.replica.Address, Deadline: time.Now().Add(inquiryTimeout), Limit: f.connectionLimit(s), Fresh: true,
-		Detour: f.detour(q.replica), Process: q,
-	})
-}
-
-// Owns implements connector.Process. Any connection to the address may be asked.
-func (q *inquiry) Owns(time.Time) bool { return false }
-
-// ReportTarget implements connector.Process.
-func (q *inquiry) ReportTarget() string {
-	if q.forwarder.reports == nil || q.replica.StartedMS == 0 {
-		return ""
-	}
-	return q.forwarder.reports.Target()
-}
-
-// IsReport implements connector.Process. The request for a report has no id.
-func (q *inquiry) IsReport(r *http.Response) bool {
-	return q.forwarder.codec.DecodeResponse(r.StatusCode, r.Header).RequestID == ""
-}
-
-// Identify implements connector.Process.
-func (q *inquiry) Identify(report []byte, _ time.Time) connector.Identity {
-	started, named := q.forwarder.reports.StartedMS(report)
-	switch {
-	case !named:
-		return connector.UnknownProcess
-	case started != q.replica.StartedMS:
-		q.startedMS = started
-		return connector.OtherProcess
-	}
-	q.forwarder.placements.Identified(q.replica, q.askedAt)
-	return connector.SameProcess
-}
-
-// Await implements connector.Process. Nothing waits for an answer of another kind.
-func (q *inquiry) Await(context.Context, time.Time) bool { return false }
--- a/internal/screener/screener.go
+++ b/internal/screener/screener.go
@@ -39,16 +39,6 @@
 	refused, evicted int64
 }
 
-// Counts are the counters of a Screener.
-type Counts struct {
-	// Refused is the number of heads that did not fit, and Evicted that of waiting connections that
-	// were closed for others.
-	Refused, Evicted int64
-	// HeadBytes is the memory that heads take now, in bytes, and Open the number of connections.
-	HeadBytes int64
-	Open      int
-}
-
 // New returns a screener for a process with a number of bytes of memory.
 func New(memoryBytes int64) *Screener {
 	return &Screener{
@@ -108,37 +98,6 @@
 	return nil
 }
 
-// handler marks the end of each head.
-type handler struct{ next http.Handler }
-
-// ServeHTTP implements http.Handler.
-func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(contextKey{}).(*conn); ok {
-		c.Admit()
-	}
-	h.next.ServeHTTP(w, r)
-}
-
-// listener screens the connections of a listener.
-type listener struct {
-	net.Listener
-	screener *Screener
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		n, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if c := l.screener.admit(n); c != nil {
-			return c, nil
-		}
-		_ = n.Close()
-	}
-}
-
 // admit returns a new connection, nil if there are too many and none of them waits. It closes the one
 // that has waited for longest if there are too many.
 func (s *Screener) admit(n net.Conn) *conn {
--- a/internal/tracker/confirmation.go
+++ b/internal/tracker/confirmation.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// rowDelay is how long after it begins to listen a replica may take to write its first row. A
+// RowDelay is how long after it begins to listen a replica may take to write its first row. A
 // connection that is opened within that time may lead to a process whose row is not there yet.
-const rowDelay = 300 * time.Millisecond
+const RowDelay = 300 * time.Millisecond
 
 // confirmation decides which connections to a replica's address lead to the process that its
 // registry row describes. It has no clock and no socket.
@@ -63,7 +63,7 @@
 	default:
 		c.endedAt, c.sequenceRead, confirmed = time.Time{}, false, true
 	}
-	c.provenUntil = later(c.provenUntil, began.Add(-rowDelay))
+	c.provenUntil = later(c.provenUntil, began.Add(-RowDelay))
 	return confirmed
 }
 
