--- a/internal/tracker/doc.go
+++ b/internal/tracker/doc.go
@@ -11,5 +11,5 @@
 // at its address already. The tracker therefore knows which connections lead to the process of
 // a row (Owns): those that were opened before a read of the registry began that shows the row.
 // An instance whose process was seen to end stays usable, but proves no further connections
-// until it has written another row (Unconfirmed).
+// until it has written another row or named itself (Unconfirmed, Identified).
 package tracker
