--- a/internal/versioner/doc.go
+++ b/internal/versioner/doc.go
@@ -8,7 +8,7 @@
 // not wait for it: a stream without a record is not resumed. To which process the event's
 // connection leads may not be known for certain then. The row says what is known, and the daemon
 // that resumes the stream settles it (Origin.Settle): that one can wait and ask, and few streams
-// are resumed. That makes a record that is lost or overwritten harmless, and lets the rows be a table of fixed size: the row of
-// a stream is chosen by its hash, and a newer stream with the same row replaces it. Nothing has
-// to be deleted.
+// are resumed. That makes a record that is lost or overwritten harmless, and lets the rows be a
+// table of fixed size: the row of a stream is chosen by its hash, and a newer stream with the same
+// row replaces it. Nothing has to be deleted.
 package versioner
