--- a/internal/screener/conn.go
+++ b/internal/screener/conn.go
@@ -3,14 +3,21 @@
 import (
 	"bytes"
 	"container/list"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// refusal answers a head that doesn't fit. Its request has not been read and never runs.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 0.5\r\nConnection: close\r\n\r\n"
+// refusal answers a head that doesn't fit, with the seconds until its client may come back. Its
+// request has not been read and never runs.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: %.2f\r\nConnection: close\r\n\r\n"
+
+// minRetryAfter is the least of those seconds, and as many more at most are added at random, so that
+// refused clients don't come back together.
+const minRetryAfter = 0.5
 
 // refusalTimeout bounds the write of a refusal to a client that may not read.
 const refusalTimeout = 50 * time.Millisecond
@@ -40,7 +47,7 @@
 	}
 	if c.http {
 		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
-		_, _ = c.Write([]byte(refusal)) // The connection closes in any case.
+		_, _ = fmt.Fprintf(c.Conn, refusal, minRetryAfter*(1+rand.Float64())) // The connection closes in any case.
 	}
 	// The server closes the connection without an answer of its own.
 	return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errNoMemory}
